Start the design page, the module layout and the core model

Cause: the project starts here; later work needs one page that states the requirements, the state and its owners, the messages and the effect of each failure, and a build in which formatter and linters fail. Change: docs/design.md, three Maven modules, model values, a first control state machine, admission shard, generation identity and token sequencer.

--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/stream/package-info.java
@@ -0,0 +1,5 @@
+/** Identity and order of the tokens of a generation. */
+@NullMarked
+package org.cactusseam.logic.stream;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/ConfigurationObject.java
@@ -0,0 +1,26 @@
+package org.cactusseam.model;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** An object that operators create, change and remove. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = ClientAccount.class, name = "account"),
+  @JsonSubTypes.Type(value = PriorityClass.class, name = "class"),
+  @JsonSubTypes.Type(value = Route.class, name = "route"),
+  @JsonSubTypes.Type(value = FailureDomain.class, name = "domain"),
+  @JsonSubTypes.Type(value = BackendServer.class, name = "server")
+})
+public sealed interface ConfigurationObject
+    permits ClientAccount, PriorityClass, Route, FailureDomain, BackendServer {
+
+  /**
+   * Returns the identity of this object.
+   *
+   * @return kind and name
+   */
+  @JsonIgnore
+  ObjectKey key();
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/ObjectKey.java
@@ -0,0 +1,21 @@
+package org.cactusseam.model;
+
+/**
+ * Identity of a configuration object.
+ *
+ * @param kind kind of the object
+ * @param name name, unique within the kind
+ */
+public record ObjectKey(ObjectKind kind, String name) implements Comparable<ObjectKey> {
+
+  /** Checks the name. */
+  public ObjectKey {
+    Names.requireValid(kind.name(), name);
+  }
+
+  @Override
+  public int compareTo(ObjectKey other) {
+    int byKind = kind.compareTo(other.kind);
+    return byKind != 0 ? byKind : name.compareTo(other.name);
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/RegionName.java
@@ -0,0 +1,28 @@
+package org.cactusseam.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of a region.
+ *
+ * @param value 1 to 63 characters as checked by {@link Names}
+ */
+public record RegionName(@JsonValue String value) implements Comparable<RegionName> {
+
+  /** Checks the name. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public RegionName {
+    Names.requireValid("region", value);
+  }
+
+  @Override
+  public int compareTo(RegionName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between entry daemons. */
+@NullMarked
+package org.cactusseam.model.message;
+
+import org.jspecify.annotations.NullMarked;
