--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.AdmissionDecision;
@@ -22,7 +23,8 @@
   @JsonSubTypes.Type(value = PeerMessage.AskPermit.class, name = "ask"),
   @JsonSubTypes.Type(value = PeerMessage.Decided.class, name = "decided"),
   @JsonSubTypes.Type(value = PeerMessage.Confirmed.class, name = "confirmed"),
-  @JsonSubTypes.Type(value = PeerMessage.Progress.class, name = "progress"),
+  @JsonSubTypes.Type(value = PeerMessage.Inventory.class, name = "inventory"),
+  @JsonSubTypes.Type(value = PeerMessage.Adopt.class, name = "adopt"),
   @JsonSubTypes.Type(value = PeerMessage.Ended.class, name = "ended"),
   @JsonSubTypes.Type(value = PeerMessage.QueryRequest.class, name = "query"),
   @JsonSubTypes.Type(value = PeerMessage.QueryReply.class, name = "reply")
@@ -69,18 +71,20 @@
   record Pong(long sequence, long nextOffset, long logAgeMillis) implements PeerMessage {}
 
   /**
-   * Asks the owner of a shard for a permit.
+   * Asks the owner of a shard for a permit, or asks again while the attempt waits.
    *
    * @param request attempt
+   * @param round number of the question; the validity of the permit counts from when it was sent
    */
-  record AskPermit(PermitRequest request) implements PeerMessage {}
+  record AskPermit(PermitRequest request, int round) implements PeerMessage {}
 
   /**
    * Answers {@link AskPermit}, possibly several times.
    *
    * @param decision decision
+   * @param round number of the last question that the owner had read when it decided
    */
-  record Decided(AdmissionDecision decision) implements PeerMessage {}
+  record Decided(AdmissionDecision decision, int round) implements PeerMessage {}
 
   /**
    * Tells the owner that the backend server answered with its response head.
@@ -93,13 +97,33 @@
       implements PeerMessage {}
 
   /**
-   * Tells the owner how far an attempt is.
+   * Tells the owner of a shard, once a second, all attempts that run for the sender. It repairs
+   * lost {@link Ended} messages and reports progress.
    *
    * @param shard shard
-   * @param attempt attempt
+   * @param boot identity of the sender's run
+   * @param attempts attempts with their progress
+   */
+  record Inventory(ShardId shard, String boot, List<OpenAttempt> attempts) implements PeerMessage {}
+
+  /**
+   * An attempt that runs.
+   *
+   * @param sequence number of the attempt within the sender's run
+   * @param tokens tokens delivered so far
+   */
+  record OpenAttempt(long sequence, long tokens) {}
+
+  /**
+   * Tells a new owner of a shard about an attempt that an earlier owner granted.
+   *
+   * @param request attempt
+   * @param server backend server that runs it
    * @param tokens tokens delivered so far
+   * @param confirmed whether the server has answered with its response head
    */
-  record Progress(ShardId shard, PermitRequestId attempt, long tokens) implements PeerMessage {}
+  record Adopt(PermitRequest request, BackendServerName server, long tokens, boolean confirmed)
+      implements PeerMessage {}
 
   /**
    * Tells the owner that an attempt ended.
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/package-info.java
@@ -0,0 +1,5 @@
+/** Clients of backend servers. */
+@NullMarked
+package org.cactusseam.edge.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RoutingView.java
@@ -0,0 +1,96 @@
+package org.cactusseam.edge.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cactusseam.logic.membership.ShardMap;
+import org.cactusseam.model.BackendKind;
+import org.cactusseam.model.ClientAccount;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.Route;
+
+/**
+ * Immutable view of the configuration with the indexes that traffic threads need. The control
+ * thread publishes a new one after each change.
+ */
+public final class RoutingView {
+
+  /** View before the first configuration. */
+  public static final RoutingView EMPTY = new RoutingView(Configuration.EMPTY);
+
+  private final Configuration configuration;
+  private final ShardMap shards;
+  private final Map<String, ClientAccount> accountsByKeyHash = new HashMap<>();
+  private final List<Route> routes;
+
+  /**
+   * Builds the indexes.
+   *
+   * @param configuration configuration
+   */
+  public RoutingView(Configuration configuration) {
+    this.configuration = configuration;
+    this.shards = ShardMap.of(configuration);
+    this.routes = configuration.all(Route.class);
+    for (ClientAccount account : configuration.all(ClientAccount.class)) {
+      account.keyHashes().forEach(hash -> accountsByKeyHash.put(hash, account));
+    }
+  }
+
+  /**
+   * Returns the configuration.
+   *
+   * @return configuration
+   */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Returns the admission shards.
+   *
+   * @return shards
+   */
+  public ShardMap shards() {
+    return shards;
+  }
+
+  /**
+   * Finds the account that owns a key.
+   *
+   * @param keyHash SHA-256 of the key in lower-case hexadecimal digits
+   * @return the account, or empty
+   */
+  public Optional<ClientAccount> accountOf(String keyHash) {
+    return Optional.ofNullable(accountsByKeyHash.get(keyHash));
+  }
+
+  /**
+   * Finds the route of a model request.
+   *
+   * @param path path of the request
+   * @param model model that the body names
+   * @return the route, or empty
+   */
+  public Optional<Route> modelRoute(String path, String model) {
+    return routes.stream()
+        .filter(route -> route.kind() == BackendKind.ENGINE)
+        .filter(route -> route.path().equals(path))
+        .filter(route -> route.model().map(model::equals).orElse(true))
+        .findFirst();
+  }
+
+  /**
+   * Finds the route of a plain request: the one with the longest path that matches.
+   *
+   * @param path path of the request
+   * @return the route, or empty
+   */
+  public Optional<Route> plainRoute(String path) {
+    return routes.stream()
+        .filter(route -> route.kind() == BackendKind.PLAIN)
+        .filter(route -> path.equals(route.path()) || path.startsWith(route.path() + "/"))
+        .max((left, right) -> Integer.compare(left.path().length(), right.path().length()));
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/InboundConnection.java
@@ -0,0 +1,49 @@
+package org.cactusseam.edge.peer;
+
+import io.vertx.core.net.NetSocket;
+import org.cactusseam.model.message.PeerMessage;
+import org.jboss.logging.Logger;
+
+/** Connection that a peer dialled: carries messages from the peer to this daemon. */
+final class InboundConnection {
+
+  private static final Logger LOG = Logger.getLogger(InboundConnection.class);
+
+  private final NetSocket socket;
+  private final PeerHandshake handshake;
+  private final PeerListener listener;
+
+  InboundConnection(NetSocket socket, PeerHandshake handshake, PeerListener listener) {
+    this.socket = socket;
+    this.handshake = handshake;
+    this.listener = listener;
+  }
+
+  void start() {
+    socket.exceptionHandler(cause -> socket.close());
+    socket.handler(new FrameReader(this::frame, this::reject));
+  }
+
+  private void frame(byte[] value) {
+    PeerCodec.decode(value)
+        .onSuccess(this::message)
+        .onFailure(cause -> reject("frame without a known message"));
+  }
+
+  private void message(PeerMessage message) {
+    if (handshake.isOpen()) {
+      handshake.other().ifPresent(other -> listener.received(other.member(), message));
+      return;
+    }
+    handshake
+        .receive(message)
+        .peek(reply -> reply.ifPresent(answer -> socket.write(PeerCodec.encode(answer))))
+        .peekLeft(this::reject);
+  }
+
+  private void reject(String reason) {
+    LOG.warnf(
+        "event=peer_connection_rejected remote=%s reason=\"%s\"", socket.remoteAddress(), reason);
+    socket.close();
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerHandshake.java
@@ -0,0 +1,83 @@
+package org.cactusseam.edge.peer;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.cactusseam.model.message.PeerMessage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Handshake of one side of a connection. Each side sends its hello, then the proof for the other
+ * side's challenge; the connection is open when the other side's proof is right.
+ */
+final class PeerHandshake {
+
+  private final PeerKey key;
+  private final PeerMessage.Hello own;
+  private PeerMessage.@Nullable Hello other;
+  private boolean open;
+
+  /**
+   * Starts a handshake.
+   *
+   * @param key authenticator
+   * @param own hello that this side sent or will send
+   */
+  PeerHandshake(PeerKey key, PeerMessage.Hello own) {
+    this.key = key;
+    this.own = own;
+  }
+
+  /**
+   * Takes a message that arrived before the connection was open.
+   *
+   * @param message message
+   * @return message to send, if any, or the reason to close the connection
+   */
+  Either<String, Optional<PeerMessage>> receive(PeerMessage message) {
+    return switch (message) {
+      case PeerMessage.Hello hello -> receiveHello(hello);
+      case PeerMessage.Proof proof -> receiveProof(proof);
+      default -> Either.left("message before the end of the handshake");
+    };
+  }
+
+  private Either<String, Optional<PeerMessage>> receiveHello(PeerMessage.Hello hello) {
+    if (other != null) {
+      return Either.left("second hello");
+    }
+    if (hello.protocol() != PeerMessage.PROTOCOL_VERSION) {
+      return Either.left("protocol version " + hello.protocol());
+    }
+    if (!hello.cluster().equals(own.cluster())) {
+      return Either.left("another cluster");
+    }
+    other = hello;
+    return Either.right(Optional.of(new PeerMessage.Proof(key.sign(hello.challenge(), own))));
+  }
+
+  private Either<String, Optional<PeerMessage>> receiveProof(PeerMessage.Proof proof) {
+    if (other == null || !key.verify(own.challenge(), other, proof.signature())) {
+      return Either.left("wrong proof of the cluster key");
+    }
+    open = true;
+    return Either.right(Optional.empty());
+  }
+
+  /**
+   * Tells whether the other side has proved that it has the cluster key.
+   *
+   * @return true after the right proof
+   */
+  boolean isOpen() {
+    return open;
+  }
+
+  /**
+   * Returns the hello of the other side.
+   *
+   * @return hello, or empty before it arrived
+   */
+  Optional<PeerMessage.Hello> other() {
+    return Optional.ofNullable(other);
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerNetwork.java
@@ -0,0 +1,153 @@
+package org.cactusseam.edge.peer;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.control.Member;
+import org.cactusseam.model.message.PeerMessage;
+
+/**
+ * Connections to all other entry daemons. Each side dials the other and sends only on the
+ * connection that it dialled. Runs on the control thread; sockets do their work there because
+ * control traffic is small.
+ */
+public final class PeerNetwork {
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int IDLE_TIMEOUT_SECONDS = 10;
+
+  private final Vertx vertx;
+  private final PeerKey key;
+  private final String cluster;
+  private final Member self;
+  private final PeerListener listener;
+  private final NetClient client;
+  private final NetServer server;
+  private final Map<NodeName, PeerLink> links = new HashMap<>();
+
+  /**
+   * Creates a network without peers.
+   *
+   * @param vertx event loops; the caller is on the control thread
+   * @param clusterKey shared secret of the deployment
+   * @param cluster name of the deployment
+   * @param self description of this daemon
+   * @param listener receiver of messages
+   */
+  public PeerNetwork(
+      Vertx vertx, byte[] clusterKey, String cluster, Member self, PeerListener listener) {
+    this.vertx = vertx;
+    this.key = new PeerKey(clusterKey);
+    this.cluster = cluster;
+    this.self = self;
+    this.listener = listener;
+    this.client =
+        vertx.createNetClient(
+            new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
+    // Half-open connections are closed when pings stop arriving.
+    this.server =
+        vertx.createNetServer(
+            new NetServerOptions().setTcpNoDelay(true).setIdleTimeout(IDLE_TIMEOUT_SECONDS));
+  }
+
+  /**
+   * Accepts connections.
+   *
+   * @return completes when the port is open
+   */
+  public Future<Void> listen() {
+    return server.connectHandler(this::accept).listen(self.peerPort(), self.host()).mapEmpty();
+  }
+
+  /**
+   * Stops all connections.
+   *
+   * @return completes when the port is closed
+   */
+  public Future<Void> close() {
+    links.values().forEach(PeerLink::stop);
+    links.clear();
+    return server.close().compose(done -> client.close());
+  }
+
+  /**
+   * Connects to a peer and stays connected. A later address replaces an earlier one.
+   *
+   * @param node entry daemon
+   * @param host IP address
+   * @param port peer port
+   */
+  public void connect(NodeName node, String host, int port) {
+    if (node.equals(self.node())) {
+      return;
+    }
+    PeerLink known = links.get(node);
+    if (known != null && known.leadsTo(host, port)) {
+      return;
+    }
+    if (known != null) {
+      known.stop();
+    }
+    links.put(node, new PeerLink(vertx, client, this, node, host, port).start());
+  }
+
+  /**
+   * Stops connecting to a peer.
+   *
+   * @param node entry daemon
+   */
+  public void disconnect(NodeName node) {
+    PeerLink link = links.remove(node);
+    if (link != null) {
+      link.stop();
+    }
+  }
+
+  /**
+   * Sends a message. It is lost if there is no open connection; the sender must not rely on it.
+   *
+   * @param node receiver
+   * @param message message
+   * @return whether the message was handed to an open connection
+   */
+  public boolean send(NodeName node, PeerMessage message) {
+    PeerLink link = links.get(node);
+    return link != null && link.send(message);
+  }
+
+  /**
+   * Returns the peers that this daemon connects to.
+   *
+   * @return names, also of those without an open connection
+   */
+  public Set<NodeName> peers() {
+    return new TreeSet<>(links.keySet());
+  }
+
+  PeerMessage.Hello hello() {
+    return new PeerMessage.Hello(PeerMessage.PROTOCOL_VERSION, cluster, self, key.challenge());
+  }
+
+  PeerHandshake handshake(PeerMessage.Hello own) {
+    return new PeerHandshake(key, own);
+  }
+
+  PeerListener listener() {
+    return listener;
+  }
+
+  private void accept(NetSocket socket) {
+    PeerMessage.Hello own = hello();
+    socket.write(PeerCodec.encode(own));
+    new InboundConnection(socket, handshake(own), listener).start();
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/platform/HttpAppendOnlyLog.java
@@ -0,0 +1,97 @@
+package org.cactusseam.edge.platform;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
+import java.net.ConnectException;
+import java.net.URI;
+import java.time.Duration;
+import org.cactusseam.edge.Json;
+
+/** Log service over HTTP. */
+public final class HttpAppendOnlyLog implements AppendOnlyLog {
+
+  /** A slow log must not hold an append for longer: the caller of the append waits for it. */
+  private static final Duration APPEND_TIMEOUT = Duration.ofSeconds(2);
+
+  /** Time that a read may take beyond its wait. */
+  private static final Duration READ_MARGIN = Duration.ofMillis(1500);
+
+  private static final int POOL_SIZE = 32;
+  private static final int STATUS_OK = 200;
+
+  private final HttpClient client;
+  private final URI base;
+
+  /**
+   * Creates an adapter.
+   *
+   * @param vertx event loops
+   * @param base address of the service
+   */
+  public HttpAppendOnlyLog(Vertx vertx, URI base) {
+    this.base = base;
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions().setConnectTimeout((int) APPEND_TIMEOUT.toMillis()),
+            new PoolOptions().setHttp1MaxSize(POOL_SIZE));
+  }
+
+  @Override
+  public Future<Long> append(String stream, String record) {
+    return exchange(
+            HttpMethod.POST,
+            "/streams/" + stream + "/records",
+            APPEND_TIMEOUT,
+            Buffer.buffer(record))
+        .map(body -> new JsonObject(body).getLong("offset"))
+        .recover(cause -> Future.failedFuture(translate(cause)));
+  }
+
+  @Override
+  public Future<LogPage> read(String stream, long from, int limit, Duration wait) {
+    String query = "?from=" + from + "&limit=" + limit + "&wait_ms=" + wait.toMillis();
+    return exchange(
+            HttpMethod.GET,
+            "/streams/" + stream + "/records" + query,
+            wait.plus(READ_MARGIN),
+            Buffer.buffer())
+        .map(body -> Json.read(body.toString(), LogPage.class).get())
+        .recover(cause -> Future.failedFuture(translate(cause)));
+  }
+
+  private Future<Buffer> exchange(HttpMethod method, String uri, Duration timeout, Buffer body) {
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(base.getHost())
+            .setPort(base.getPort())
+            .setURI(uri)
+            .setConnectTimeout(timeout.toMillis())
+            .setTimeout(timeout.toMillis());
+    return client.request(options).compose(request -> request.send(body)).compose(this::body);
+  }
+
+  private Future<Buffer> body(HttpClientResponse response) {
+    if (response.statusCode() != STATUS_OK) {
+      return Future.failedFuture(
+          new LogException("the log answered with status " + response.statusCode(), true));
+    }
+    return response.body();
+  }
+
+  private static LogException translate(Throwable cause) {
+    if (cause instanceof LogException known) {
+      return known;
+    }
+    boolean ambiguous = !(cause instanceof ConnectException);
+    return new LogException("no answer from the log: " + cause.getMessage(), ambiguous);
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/platform/package-info.java
@@ -0,0 +1,5 @@
+/** Adapters to the platform: the append-only log and the list of VMs. */
+@NullMarked
+package org.cactusseam.edge.platform;
+
+import org.jspecify.annotations.NullMarked;
