Bound the memory that a hostile peer frame can claim

Cause: a property test with random bytes ended in "Java heap space": a frame of a few bytes can declare a MessagePack value of two gigabytes, and the mapper allocates it before it reads. A larger heap and a smaller frame limit were ruled out: the declared length does not depend on either. Change: a frame is first skipped through with the unpacker, which allocates nothing, and is rejected if its inner lengths exceed it.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerCodec.java
@@ -5,8 +5,11 @@
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vavr.control.Try;
 import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
 import java.util.Objects;
 import org.cactusseam.model.message.PeerMessage;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -47,6 +50,20 @@
    * @return the message, or the failure if the bytes are none
    */
   public static Try<PeerMessage> decode(byte[] value) {
-    return Try.of(() -> Objects.requireNonNull(MAPPER.readValue(value, PeerMessage.class)));
+    return Try.of(
+        () -> {
+          requireComplete(value);
+          return Objects.requireNonNull(MAPPER.readValue(value, PeerMessage.class));
+        });
+  }
+
+  /**
+   * Rejects values whose inner lengths exceed the frame. The mapper allocates what a length field
+   * says before it reads, so a frame of six bytes could otherwise claim two gigabytes.
+   */
+  private static void requireComplete(byte[] value) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
+      unpacker.skipValue();
+    }
   }
 }
--- /dev/null
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -0,0 +1,177 @@
+package org.cactusseam.edge.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.cactusseam.model.AccountName;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.FailureDomainName;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.PoolName;
+import org.cactusseam.model.PriorityClassName;
+import org.cactusseam.model.RegionName;
+import org.cactusseam.model.ResultCode;
+import org.cactusseam.model.RouteName;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.admission.AdmissionDecision;
+import org.cactusseam.model.admission.AttemptEnd;
+import org.cactusseam.model.admission.BackendCondition;
+import org.cactusseam.model.admission.Permit;
+import org.cactusseam.model.admission.PermitRequest;
+import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.control.Member;
+import org.cactusseam.model.message.PeerMessage;
+import org.cactusseam.model.message.RequestSummary;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Guards against messages that change on the way and against hostile bytes that raise exceptions.
+ */
+class PeerCodecTest {
+
+  private static final ShardId SHARD = new ShardId(new PoolName("llm"), new RegionName("ost"), 0);
+  private static final PermitRequestId ATTEMPT =
+      new PermitRequestId(new NodeName("entry-1"), "b1", 7);
+  private static final BackendServerName SERVER = new BackendServerName("llm-1");
+  private static final Member MEMBER =
+      new Member(
+          new NodeName("entry-1"),
+          "b1",
+          "127.0.0.1",
+          21301,
+          new FailureDomainName("ost-wien"),
+          new RegionName("ost"));
+  private static final PermitRequest REQUEST =
+      new PermitRequest(
+          ATTEMPT,
+          SHARD,
+          "r1",
+          new AccountName("salon"),
+          new PriorityClassName("standard"),
+          new RouteName("letters"),
+          12,
+          List.of(5L, -6L),
+          100,
+          30_000,
+          List.of(SERVER),
+          "f00d");
+
+  static Stream<PeerMessage> messages() {
+    return Stream.of(
+        new PeerMessage.Hello(1, "zopfwerk", MEMBER, "challenge"),
+        new PeerMessage.Proof("signature"),
+        new PeerMessage.Ping(4, 17),
+        new PeerMessage.Pong(4, 17, -1),
+        new PeerMessage.AskPermit(REQUEST, 3),
+        new PeerMessage.Decided(
+            new AdmissionDecision.Granted(new Permit(ATTEMPT, SHARD, SERVER, 12)), 3),
+        new PeerMessage.Decided(
+            new AdmissionDecision.Refused(ATTEMPT, ResultCode.OVERLOADED, "full", 250), 0),
+        new PeerMessage.Decided(new AdmissionDecision.Queued(ATTEMPT), 0),
+        new PeerMessage.Confirmed(SHARD, ATTEMPT, new BackendCondition("i1", true)),
+        new PeerMessage.Inventory(SHARD, "b1", List.of(new PeerMessage.OpenAttempt(7, 30))),
+        new PeerMessage.Adopt(REQUEST, SERVER, 30, true),
+        new PeerMessage.Ended(SHARD, ATTEMPT, AttemptEnd.COMPLETED, 30),
+        new PeerMessage.QueryRequest(1),
+        new PeerMessage.QueryReply(
+            1,
+            new NodeName("entry-1"),
+            List.of(
+                new RequestSummary(
+                    "r1",
+                    new NodeName("entry-1"),
+                    new AccountName("salon"),
+                    new PriorityClassName("standard"),
+                    new RouteName("letters"),
+                    "llm-1",
+                    "streaming",
+                    5,
+                    100))));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void a_message_is_read_as_it_was_written(PeerMessage message) {
+    Buffer frame = PeerCodec.encode(message);
+
+    byte[] value = frame.getBytes(PeerCodec.LENGTH_BYTES, frame.length());
+
+    assertThat(frame.getInt(0), is(value.length));
+    assertThat(PeerCodec.decode(value).get(), is(message));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void a_truncated_message_is_a_failure_and_no_exception(PeerMessage message) {
+    Buffer frame = PeerCodec.encode(message);
+    for (int length = PeerCodec.LENGTH_BYTES; length < frame.length(); length++) {
+      byte[] value = frame.getBytes(PeerCodec.LENGTH_BYTES, length);
+
+      assertThat(PeerCodec.decode(value).isFailure(), is(true));
+    }
+  }
+
+  @Property(tries = 10_000, seed = "4711")
+  void hostile_bytes_never_raise_an_exception(@ForAll byte[] value) {
+    PeerCodec.decode(value);
+  }
+
+  @Property(tries = 10_000, seed = "4712")
+  void changed_bytes_of_a_message_never_raise_an_exception(
+      @ForAll @IntRange(max = 13) int index, @ForAll int position, @ForAll byte replacement) {
+    PeerMessage message = messages().toList().get(index);
+    Buffer frame = PeerCodec.encode(message);
+    byte[] value = frame.getBytes(PeerCodec.LENGTH_BYTES, frame.length());
+    value[Math.floorMod(position, value.length)] = replacement;
+
+    PeerCodec.decode(value);
+  }
+
+  @Property(tries = 10_000, seed = "4713")
+  void frames_do_not_depend_on_how_the_bytes_are_cut(
+      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 13) Integer> indexes,
+      @ForAll @IntRange(min = 1, max = 40) int cut) {
+    List<PeerMessage> sent = indexes.stream().map(messages().toList()::get).toList();
+    Buffer bytes = Buffer.buffer();
+    sent.forEach(message -> bytes.appendBuffer(PeerCodec.encode(message)));
+    List<PeerMessage> received = new ArrayList<>();
+    FrameReader reader =
+        new FrameReader(
+            value -> received.add(PeerCodec.decode(value).get()),
+            fault -> {
+              throw new AssertionError(fault);
+            });
+
+    for (int start = 0; start < bytes.length(); start += cut) {
+      reader.handle(bytes.getBuffer(start, Math.min(bytes.length(), start + cut)));
+    }
+
+    assertThat(received, is(sent));
+  }
+
+  @Property(tries = 10_000, seed = "4714")
+  void a_hostile_length_ends_the_reading(@ForAll int length, @ForAll byte[] rest) {
+    List<byte[]> frames = new ArrayList<>();
+    List<String> faults = new ArrayList<>();
+    FrameReader reader = new FrameReader(frames::add, faults::add);
+
+    reader.handle(Buffer.buffer().appendInt(length).appendBytes(rest));
+
+    if (length <= 0 || length > PeerCodec.MAXIMUM_FRAME_BYTES) {
+      assertThat(faults.size(), is(1));
+      assertThat(frames.size(), is(0));
+    } else {
+      assertThat(faults.size(), lessThanOrEqualTo(1));
+    }
+  }
+}
