--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/Address.java
@@ -0,0 +1,38 @@
+package org.cactusseam.logic.query;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.util.Optional;
+
+/**
+ * IP address and TCP port.
+ *
+ * @param host IP address
+ * @param port TCP port
+ */
+public record Address(String host, int port) {
+
+  /**
+   * Reads an address like {@code 10.0.0.1:8080} or {@code [2001:db8::1]:8080}.
+   *
+   * @param text text
+   * @return the address, or empty if the text is not one
+   */
+  public static Optional<Address> parse(String text) {
+    try {
+      HostAndPort parsed = HostAndPort.fromString(text).requireBracketsForIPv6();
+      return parsed.hasPort()
+              && parsed.getPort() > 0
+              && InetAddresses.isInetAddress(parsed.getHost())
+          ? Optional.of(new Address(parsed.getHost(), parsed.getPort()))
+          : Optional.empty();
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  @Override
+  public String toString() {
+    return HostAndPort.fromParts(host, port).toString();
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandParser.java
@@ -0,0 +1,287 @@
+package org.cactusseam.logic.query;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cactusseam.logic.query.Values.TokenKind;
+import org.cactusseam.model.BackendKind;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.FailureDomainName;
+import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.ObjectKind;
+import org.cactusseam.model.PoolName;
+import org.cactusseam.model.PriorityClassName;
+import org.cactusseam.model.RegionName;
+import org.cactusseam.model.ServiceState;
+import org.jparsec.Parser;
+import org.jparsec.Parsers;
+import org.jparsec.Scanners;
+import org.jparsec.Tokens;
+import org.jparsec.error.ParseErrorDetails;
+import org.jparsec.error.ParserException;
+import org.jparsec.pattern.Patterns;
+
+/**
+ * Reads commands of the operators' language, which {@code docs/operators.md} describes. Input is
+ * not trusted: any text gives a command or an error.
+ */
+public final class CommandParser {
+
+  /** Longest text that is read; longer ones are refused before they cost time. */
+  public static final int LONGEST_COMMAND = 16_384;
+
+  private static final long GREATEST_REVISION = 999_999_999_999_999_999L;
+  private static final int GREATEST_COUNT = 1_000_000;
+  private static final long GREATEST_MEMORY = 1_000_000_000_000L;
+  private static final int LONGEST_QUOTED_INPUT = 20;
+
+  private static final Parser<Command> COMMAND =
+      Parsers.or(queries(), orders()).from(tokenizer(), Scanners.WHITESPACES.optional(null));
+
+  private CommandParser() {}
+
+  /**
+   * Reads one command.
+   *
+   * @param text text of the command
+   * @return the command, or where and why the text is not one
+   */
+  public static Either<CommandError, Command> parse(String text) {
+    if (text.length() > LONGEST_COMMAND) {
+      String limit = "at most " + LONGEST_COMMAND + " characters";
+      return Either.left(new CommandError(1, 1, List.of(limit), text.length() + " characters"));
+    }
+    try {
+      return Either.right(COMMAND.parse(text));
+    } catch (ParserException e) {
+      return Either.left(error(e, text));
+    }
+  }
+
+  private static CommandError error(ParserException exception, String text) {
+    ParseErrorDetails details = exception.getErrorDetails();
+    List<String> expected =
+        details.getExpected().stream()
+            .map(label -> label.equals("EOF") ? "the end" : label)
+            .distinct()
+            .sorted()
+            .toList();
+    return new CommandError(
+        exception.getLine(),
+        exception.getColumn(),
+        expected.isEmpty() ? List.of("a command") : expected,
+        found(text, details.getIndex()));
+  }
+
+  private static String found(String text, int index) {
+    // Taken from the text, because the library reports the end for an unfinished quoted text.
+    String rest = text.substring(Math.min(index, text.length()));
+    if (rest.isBlank()) {
+      return "the end";
+    }
+    String word = rest.strip().split("\\s", 2)[0].replaceAll("\\p{Cntrl}", "?");
+    return word.length() <= LONGEST_QUOTED_INPUT
+        ? "'" + word + "'"
+        : "'" + word.substring(0, LONGEST_QUOTED_INPUT) + "...'";
+  }
+
+  private static Parser<Tokens.Fragment> tokenizer() {
+    return Parsers.or(
+        scanner("[^\\s\"=]+", "a word", TokenKind.WORD),
+        scanner("\"[^\"\\p{Cntrl}]*\"", "a text in double quotes", TokenKind.TEXT),
+        scanner("=", "'='", TokenKind.EQUALS));
+  }
+
+  private static Parser<Tokens.Fragment> scanner(String pattern, String name, TokenKind kind) {
+    return Patterns.regex(pattern)
+        .toScanner(name)
+        .source()
+        .map(text -> Tokens.fragment(text, kind));
+  }
+
+  private static Parser<Command> queries() {
+    Parser<Command> requests =
+        Parsers.sequence(Values.keyword("requests"), conditions())
+            .map(conditions -> new Command.ShowRequests(conditions));
+    Parser<Command> command =
+        Parsers.sequence(Values.keyword("command"), Values.name("a command"))
+            .map(Command.ShowCommand::new);
+    Parser<Command> listing = Values.choice(Command.Listing.class).map(Command.Show::new);
+    return Parsers.sequence(Values.keyword("show"), Parsers.or(requests, command, listing));
+  }
+
+  private static Parser<List<Command.Condition>> conditions() {
+    Parser<Command.Condition> condition =
+        Parsers.sequence(
+            Values.choice(Command.Field.class),
+            Values.equalsSign(),
+            Values.name("an object"),
+            (field, sign, name) -> new Command.Condition(field, name));
+    return Parsers.sequence(Values.keyword("where"), condition.sepBy1(Values.keyword("and")))
+        .optional(List.of());
+  }
+
+  private static Parser<Command> orders() {
+    Parser<OptionalLong> revision =
+        Parsers.sequence(
+                Values.keyword("if"),
+                Values.keyword("revision"),
+                Values.number(0, GREATEST_REVISION))
+            .map(OptionalLong::of)
+            .optional(OptionalLong.empty());
+    Parser<Command> guarded =
+        revision.next(seen -> Parsers.or(change(seen), remove(seen), setService(seen)));
+    return Parsers.or(create(), load(), changeRole(), guarded);
+  }
+
+  private static Parser<Command> create() {
+    return Parsers.sequence(
+        Values.keyword("create"),
+        Parsers.or(
+            create("class", "a class", classAttributes(true)),
+            create("account", "an account", accountAttributes(true)),
+            create("route", "a route", routeAttributes(true)),
+            create("domain", "a failure domain", domainAttributes(true)),
+            create("server", "a backend server", serverAttributes(true))));
+  }
+
+  private static Parser<Command> create(String kind, String what, Parser<Attributes> attributes) {
+    return Parsers.sequence(
+        Values.keyword(kind),
+        Values.name(what),
+        attributes,
+        (keyword, name, stated) -> new Command.Create(name, stated));
+  }
+
+  private static Parser<Command> change(OptionalLong revision) {
+    return Parsers.sequence(
+        Values.keyword("change"),
+        Parsers.or(
+            change(revision, "class", "a class", classAttributes(false)),
+            change(revision, "account", "an account", accountAttributes(false)),
+            change(revision, "route", "a route", routeAttributes(false)),
+            change(revision, "domain", "a failure domain", domainAttributes(false)),
+            change(revision, "server", "a backend server", serverAttributes(false))));
+  }
+
+  private static Parser<Command> change(
+      OptionalLong revision, String kind, String what, Parser<Attributes> attributes) {
+    Parser<?> somethingStated = Parsers.ANY_TOKEN.label("an attribute").peek();
+    return Parsers.sequence(
+        Values.keyword(kind),
+        Values.name(what).followedBy(somethingStated),
+        attributes,
+        (keyword, name, stated) -> new Command.Change(revision, name, stated));
+  }
+
+  private static Parser<Command> remove(OptionalLong revision) {
+    return Parsers.sequence(
+            Values.keyword("remove"),
+            Parsers.or(
+                key("class", ObjectKind.PRIORITY_CLASS),
+                key("account", ObjectKind.ACCOUNT),
+                key("route", ObjectKind.ROUTE),
+                key("domain", ObjectKind.FAILURE_DOMAIN),
+                key("server", ObjectKind.BACKEND_SERVER)))
+        .map(key -> new Command.Remove(revision, key));
+  }
+
+  private static Parser<ObjectKey> key(String keyword, ObjectKind kind) {
+    return Parsers.sequence(Values.keyword(keyword), Values.name("an object"))
+        .map(name -> new ObjectKey(kind, name));
+  }
+
+  private static Parser<Command> setService(OptionalLong revision) {
+    return Parsers.or(
+        setService(revision, "take", "out", ServiceState.OUT),
+        setService(revision, "bring", "in", ServiceState.IN));
+  }
+
+  private static Parser<Command> setService(
+      OptionalLong revision, String verb, String direction, ServiceState state) {
+    return Parsers.sequence(
+        Values.keyword(verb),
+        Parsers.or(
+            key("domain", ObjectKind.FAILURE_DOMAIN), key("server", ObjectKind.BACKEND_SERVER)),
+        Values.keyword(direction),
+        (keyword, key, last) -> new Command.SetService(revision, key, state));
+  }
+
+  private static Parser<Command> load() {
+    return Parsers.sequence(
+        Values.keyword("load"),
+        Values.choice(Command.Artifact.class),
+        Values.text("a name"),
+        Parsers.sequence(Values.keyword("on"), server()),
+        (keyword, artifact, name, server) -> new Command.Load(artifact, name, server));
+  }
+
+  private static Parser<Command> changeRole() {
+    // The lookahead separates "change role of" from the change of an object.
+    return Parsers.sequence(
+        Values.keyword("change").next(Values.keyword("role")).atomic(),
+        Values.keyword("of"),
+        server(),
+        Values.keyword("to"),
+        Values.text("a role"),
+        (role, of, server, to, text) -> new Command.ChangeRole(server, text));
+  }
+
+  private static Parser<BackendServerName> server() {
+    return Parsers.sequence(Values.keyword("server"), Values.name("a backend server"))
+        .map(BackendServerName::new);
+  }
+
+  private static <T> Parser<Optional<T>> attribute(
+      String keyword, Parser<T> value, boolean required) {
+    Parser<Optional<T>> stated = Parsers.sequence(Values.keyword(keyword), value).map(Optional::of);
+    return required ? stated : stated.optional(Optional.empty());
+  }
+
+  private static Parser<Attributes> classAttributes(boolean required) {
+    Parser<Boolean> value = Values.choice("yes", "no").optional(true);
+    return Parsers.sequence(
+        attribute("rank", Values.integer(0, 9), required),
+        attribute("may-wait", value, false),
+        Attributes.OfClass::new);
+  }
+
+  private static Parser<Attributes> accountAttributes(boolean required) {
+    Parser<String> keyHash = Parsers.sequence(Values.keyword("key-hash"), Values.keyHash());
+    return Parsers.sequence(
+        attribute("class", Values.name("a class").map(PriorityClassName::new), required),
+        attribute("share", Values.integer(0, GREATEST_COUNT), required),
+        required ? keyHash.many1() : keyHash.many(),
+        Attributes.OfAccount::new);
+  }
+
+  private static Parser<Attributes> routeAttributes(boolean required) {
+    return Parsers.sequence(
+        attribute("path", Values.path(), required),
+        attribute("model", Values.text("a model"), false),
+        attribute("pool", Values.name("a pool").map(PoolName::new), required),
+        attribute("kind", Values.choice(BackendKind.class), required),
+        attribute("repeatable", Values.choice("yes", "no"), required),
+        attribute("deadline", Values.deadline(), required),
+        Attributes.OfRoute::new);
+  }
+
+  private static Parser<Attributes> domainAttributes(boolean required) {
+    return attribute("region", Values.name("a region").map(RegionName::new), required)
+        .map(Attributes.OfDomain::new);
+  }
+
+  private static Parser<Attributes> serverAttributes(boolean required) {
+    return Parsers.sequence(
+        attribute("pool", Values.name("a pool").map(PoolName::new), required),
+        attribute("domain", Values.name("a failure domain").map(FailureDomainName::new), required),
+        attribute("kind", Values.choice(BackendKind.class), required),
+        attribute("address", Values.address(), required),
+        attribute("fencing", Values.choice("checked", "ignored"), required),
+        attribute("cold-limit", Values.integer(1, GREATEST_COUNT), required),
+        attribute("warm-limit", Values.integer(1, GREATEST_COUNT), required),
+        attribute("memory", Values.number(0, GREATEST_MEMORY), false),
+        Attributes.OfServer::new);
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandPrinter.java
@@ -0,0 +1,148 @@
+package org.cactusseam.logic.query;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.Collectors;
+import org.cactusseam.model.DurationText;
+import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.ObjectKind;
+import org.cactusseam.model.ServiceState;
+
+/** Writes commands in the form that {@link CommandParser} reads as the same command. */
+public final class CommandPrinter {
+
+  private CommandPrinter() {}
+
+  /**
+   * Writes a command.
+   *
+   * @param command command
+   * @return one line
+   */
+  public static String print(Command command) {
+    return switch (command) {
+      case Command.ShowRequests show -> "show requests" + conditions(show.conditions());
+      case Command.Show show -> "show " + Values.lowerCase(show.listing());
+      case Command.ShowCommand show -> "show command " + show.commandId();
+      case Command.Create create ->
+          "create " + object(create.key()) + attributes(create.attributes());
+      case Command.Change change ->
+          revision(change.revision())
+              + "change "
+              + object(change.key())
+              + attributes(change.attributes());
+      case Command.Remove remove -> revision(remove.revision()) + "remove " + object(remove.key());
+      case Command.SetService set ->
+          revision(set.revision())
+              + (set.state() == ServiceState.OUT
+                  ? "take " + object(set.key()) + " out"
+                  : "bring " + object(set.key()) + " in");
+      case Command.Load load ->
+          "load "
+              + Values.lowerCase(load.artifact())
+              + " "
+              + quoted(load.name())
+              + " on server "
+              + load.server();
+      case Command.ChangeRole change ->
+          "change role of server " + change.server() + " to " + quoted(change.role());
+    };
+  }
+
+  /**
+   * Returns the word for a kind of object.
+   *
+   * @param kind kind
+   * @return keyword of the language
+   */
+  public static String keyword(ObjectKind kind) {
+    return switch (kind) {
+      case ACCOUNT -> "account";
+      case PRIORITY_CLASS -> "class";
+      case ROUTE -> "route";
+      case FAILURE_DOMAIN -> "domain";
+      case BACKEND_SERVER -> "server";
+    };
+  }
+
+  /**
+   * Writes the identity of an object.
+   *
+   * @param key object
+   * @return keyword and name
+   */
+  public static String object(ObjectKey key) {
+    return keyword(key.kind()) + " " + key.name();
+  }
+
+  private static String revision(OptionalLong revision) {
+    return revision.isPresent() ? "if revision " + revision.getAsLong() + " " : "";
+  }
+
+  private static String quoted(String text) {
+    return "\"" + text + "\"";
+  }
+
+  private static String conditions(List<Command.Condition> conditions) {
+    String joined =
+        conditions.stream()
+            .map(condition -> Values.lowerCase(condition.field()) + " = " + condition.name())
+            .collect(Collectors.joining(" and "));
+    return joined.isEmpty() ? "" : " where " + joined;
+  }
+
+  private static String attributes(Attributes attributes) {
+    Words words = new Words();
+    switch (attributes) {
+      case Attributes.OfClass of -> {
+        words.add("rank", of.rank());
+        of.mayWait().ifPresent(value -> words.add(value ? "may-wait" : "may-wait no"));
+      }
+      case Attributes.OfAccount of -> {
+        words.add("class", of.priorityClass());
+        words.add("share", of.share());
+        of.keyHashes().forEach(hash -> words.add("key-hash " + hash));
+      }
+      case Attributes.OfRoute of -> {
+        words.add("path", of.path().map(CommandPrinter::quoted));
+        words.add("model", of.model().map(CommandPrinter::quoted));
+        words.add("pool", of.pool());
+        words.add("kind", of.protocol().map(Values::lowerCase));
+        words.add("repeatable", of.repeatable().map(value -> value ? "yes" : "no"));
+        words.add("deadline", of.deadline().map(DurationText::format));
+      }
+      case Attributes.OfDomain of -> words.add("region", of.region());
+      case Attributes.OfServer of -> {
+        words.add("pool", of.pool());
+        words.add("domain", of.domain());
+        words.add("kind", of.protocol().map(Values::lowerCase));
+        words.add("address", of.address());
+        words.add("fencing", of.checksFencing().map(value -> value ? "checked" : "ignored"));
+        words.add("cold-limit", of.coldLimit());
+        words.add("warm-limit", of.warmLimit());
+        words.add("memory", of.memoryTokens());
+      }
+    }
+    return words.joined();
+  }
+
+  /** Collects the attributes that are present. */
+  private static final class Words {
+
+    private final List<String> words = new ArrayList<>();
+
+    void add(String word) {
+      words.add(word);
+    }
+
+    void add(String keyword, Optional<?> value) {
+      value.ifPresent(present -> words.add(keyword + " " + present));
+    }
+
+    String joined() {
+      return words.stream().map(word -> " " + word).collect(Collectors.joining());
+    }
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/ConfigurationAnswers.java
@@ -0,0 +1,230 @@
+package org.cactusseam.logic.query;
+
+import static org.cactusseam.logic.query.AnswerTable.row;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Function;
+import org.cactusseam.logic.control.Membership;
+import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.ClientAccount;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.ConfigurationObject;
+import org.cactusseam.model.DurationText;
+import org.cactusseam.model.FailureDomain;
+import org.cactusseam.model.Names;
+import org.cactusseam.model.PriorityClass;
+import org.cactusseam.model.Route;
+import org.cactusseam.model.message.RequestSummary;
+
+/** Answers queries from the configuration, the membership and summaries of requests. */
+public final class ConfigurationAnswers {
+
+  private final Configuration configuration;
+
+  /**
+   * Creates the answers.
+   *
+   * @param configuration configuration to answer from
+   */
+  public ConfigurationAnswers(Configuration configuration) {
+    this.configuration = configuration;
+  }
+
+  private <T extends ConfigurationObject> List<List<AnswerTable.Cell>> rows(
+      Class<T> type, Function<T, List<AnswerTable.Cell>> row) {
+    return configuration.all(type).stream().map(row).toList();
+  }
+
+  private long revision(ConfigurationObject object) {
+    return configuration.revision(object.key()).orElseThrow();
+  }
+
+  /**
+   * Lists backend servers. The column "serves" tells whether new work may reach the server, which
+   * also depends on its failure domain.
+   *
+   * @return table
+   */
+  public AnswerTable servers() {
+    return new AnswerTable(
+        List.of(
+            "server",
+            "pool",
+            "domain",
+            "kind",
+            "address",
+            "fencing",
+            "cold",
+            "warm",
+            "memory",
+            "state",
+            "serves",
+            "revision"),
+        rows(
+            BackendServer.class,
+            server ->
+                row(
+                    server.name(),
+                    server.pool(),
+                    server.domain(),
+                    Values.lowerCase(server.kind()),
+                    new Address(server.host(), server.port()),
+                    server.checksFencing() ? "checked" : "ignored",
+                    server.coldLimit(),
+                    server.warmLimit(),
+                    server.memoryTokens(),
+                    Values.lowerCase(server.state()),
+                    configuration.isInService(server) ? "yes" : "no",
+                    revision(server))));
+  }
+
+  /**
+   * Lists failure domains.
+   *
+   * @return table
+   */
+  public AnswerTable domains() {
+    return new AnswerTable(
+        List.of("domain", "region", "state", "revision"),
+        rows(
+            FailureDomain.class,
+            domain ->
+                row(
+                    domain.name(),
+                    domain.region(),
+                    Values.lowerCase(domain.state()),
+                    revision(domain))));
+  }
+
+  /**
+   * Lists client accounts, with the number of their keys instead of the hashes.
+   *
+   * @return table
+   */
+  public AnswerTable accounts() {
+    return new AnswerTable(
+        List.of("account", "class", "share", "keys", "revision"),
+        rows(
+            ClientAccount.class,
+            account ->
+                row(
+                    account.name(),
+                    account.priorityClass(),
+                    account.share(),
+                    account.keyHashes().size(),
+                    revision(account))));
+  }
+
+  /**
+   * Lists priority classes.
+   *
+   * @return table
+   */
+  public AnswerTable classes() {
+    return new AnswerTable(
+        List.of("class", "rank", "may-wait", "revision"),
+        rows(
+            PriorityClass.class,
+            priorityClass ->
+                row(
+                    priorityClass.name(),
+                    priorityClass.rank(),
+                    priorityClass.mayWait() ? "yes" : "no",
+                    revision(priorityClass))));
+  }
+
+  /**
+   * Lists routes.
+   *
+   * @return table
+   */
+  public AnswerTable routes() {
+    return new AnswerTable(
+        List.of("route", "path", "model", "pool", "kind", "repeatable", "deadline", "revision"),
+        rows(
+            Route.class,
+            route ->
+                row(
+                    route.name(),
+                    route.path(),
+                    route.model().orElse(""),
+                    route.pool(),
+                    Values.lowerCase(route.kind()),
+                    route.repeatable() ? "yes" : "no",
+                    DurationText.format(Duration.ofMillis(route.deadlineMillis())),
+                    revision(route))));
+  }
+
+  /**
+   * Lists entry daemons.
+   *
+   * @param membership membership
+   * @return table
+   */
+  public static AnswerTable nodes(Membership membership) {
+    return new AnswerTable(
+        List.of("node", "region", "domain", "address", "state", "joined"),
+        membership.entries().stream()
+            .map(
+                entry ->
+                    row(
+                        entry.member().node(),
+                        entry.member().region(),
+                        entry.member().domain(),
+                        new Address(entry.member().host(), entry.member().peerPort()),
+                        entry.active() ? "active" : "joined",
+                        entry.joinedAt()))
+            .toList());
+  }
+
+  /**
+   * Lists the requests that meet every condition of a query.
+   *
+   * @param query query
+   * @param requests requests of all entry daemons
+   * @return table
+   */
+  public AnswerTable requests(Command.ShowRequests query, List<RequestSummary> requests) {
+    return new AnswerTable(
+        List.of(
+            "request", "node", "account", "class", "route", "server", "state", "tokens", "age-ms"),
+        requests.stream()
+            .filter(request -> query.conditions().stream().allMatch(one -> holds(one, request)))
+            .map(
+                request ->
+                    row(
+                        request.request(),
+                        request.node(),
+                        request.account(),
+                        request.priorityClass(),
+                        request.route(),
+                        request.server(),
+                        request.state(),
+                        request.tokens(),
+                        request.ageMillis()))
+            .toList());
+  }
+
+  private boolean holds(Command.Condition condition, RequestSummary request) {
+    String actual =
+        switch (condition.field()) {
+          case ACCOUNT -> request.account().value();
+          case ROUTE -> request.route().value();
+          case SERVER -> request.server();
+          case DOMAIN -> domain(request.server());
+        };
+    return actual.equals(condition.name());
+  }
+
+  private String domain(String server) {
+    // The server of a waiting request is an empty text, which is not a name.
+    return Names.isValid(server)
+        ? configuration
+            .server(new BackendServerName(server))
+            .map(found -> found.domain().value())
+            .orElse("")
+        : "";
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/References.java
@@ -0,0 +1,58 @@
+package org.cactusseam.logic.query;
+
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.ClientAccount;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.ConfigurationObject;
+import org.cactusseam.model.ObjectKey;
+
+/** References between configuration objects: accounts name classes, servers name domains. */
+public final class References {
+
+  private References() {}
+
+  /**
+   * Finds a reference of an object to something that does not exist.
+   *
+   * @param configuration configuration
+   * @param object object to add or replace
+   * @return what is missing, for people, or empty
+   */
+  public static Optional<String> missing(Configuration configuration, ConfigurationObject object) {
+    return switch (object) {
+      case ClientAccount account
+          when configuration.priorityClass(account.priorityClass()).isEmpty() ->
+          Optional.of("class " + account.priorityClass() + " does not exist");
+      case BackendServer server when configuration.domain(server.domain()).isEmpty() ->
+          Optional.of("domain " + server.domain() + " does not exist");
+      default -> Optional.empty();
+    };
+  }
+
+  /**
+   * Finds an object that refers to an object that is to be removed.
+   *
+   * @param configuration configuration
+   * @param key object to remove
+   * @return why it must stay, for people, or empty
+   */
+  public static Optional<String> blockedRemoval(Configuration configuration, ObjectKey key) {
+    Stream<? extends ConfigurationObject> users =
+        switch (key.kind()) {
+          case PRIORITY_CLASS ->
+              configuration.all(ClientAccount.class).stream()
+                  .filter(account -> account.priorityClass().value().equals(key.name()));
+          case FAILURE_DOMAIN ->
+              configuration.all(BackendServer.class).stream()
+                  .filter(server -> server.domain().value().equals(key.name()));
+          case ACCOUNT, ROUTE, BACKEND_SERVER -> Stream.empty();
+        };
+    return users
+        .findFirst()
+        .map(
+            user ->
+                CommandPrinter.object(key) + " is used by " + CommandPrinter.object(user.key()));
+  }
+}
