Add the stand-in processes for engine, plain service, log and VM list

Change: four simulated systems as Vert.x verticles, one main class with subcommands, faults as options and at run time through /faults. Contract tests are not part of this commit.

--- /dev/null
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/Json.java
@@ -0,0 +1,93 @@
+package org.cactusseam.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+
+/** JSON with names in snake case, as all protocols of the outside systems use them. */
+public final class Json {
+
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+          .addModule(new Jdk8Module())
+          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+          .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+          .build();
+
+  private Json() {}
+
+  /**
+   * Creates an empty object.
+   *
+   * @return the object
+   */
+  public static ObjectNode object() {
+    return MAPPER.createObjectNode();
+  }
+
+  /**
+   * Parses an object.
+   *
+   * @param text JSON text
+   * @return the object
+   * @throws InvalidInputException if the text is not a JSON object
+   */
+  public static ObjectNode parseObject(String text) {
+    try {
+      if (MAPPER.readTree(text) instanceof ObjectNode object) {
+        return object;
+      }
+    } catch (JsonProcessingException e) {
+      throw new InvalidInputException(e.getOriginalMessage(), e);
+    }
+    throw new InvalidInputException("a JSON object is expected");
+  }
+
+  /**
+   * Converts a tree to a value.
+   *
+   * @param tree tree
+   * @param type type of the value
+   * @param <T> type of the value
+   * @return the value
+   * @throws InvalidInputException if a member is unknown, missing or of a wrong type
+   */
+  public static <T> T toValue(JsonNode tree, Class<T> type) {
+    try {
+      return MAPPER.treeToValue(tree, type);
+    } catch (JsonProcessingException e) {
+      throw new InvalidInputException(e.getOriginalMessage(), e);
+    }
+  }
+
+  /**
+   * Converts a record to a tree.
+   *
+   * @param value record
+   * @return the tree
+   */
+  public static ObjectNode toTree(Record value) {
+    return MAPPER.valueToTree(value);
+  }
+
+  /**
+   * Writes a value or a tree.
+   *
+   * @param value value
+   * @return JSON text
+   */
+  public static String write(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("value cannot be written as JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/ServicePort.java
@@ -0,0 +1,120 @@
+package org.cactusseam.standin;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+
+/**
+ * The listening socket of a service, which faults close and open again. A closed socket makes the
+ * operating system refuse connections, as it does for a process that has ended.
+ */
+final class ServicePort {
+
+  /** Why the socket is closed. It opens when no reason is left. */
+  enum Reason {
+    /** The process has crashed. */
+    CRASH,
+    /** A fault refuses new connections. */
+    REFUSAL
+  }
+
+  private static final Logger LOG = Logger.getLogger(ServicePort.class);
+  private static final int OPEN_ATTEMPTS = 100;
+  private static final long RETRY_MS = 50;
+  private static final long LONGEST_DRAIN_MINUTES = 60;
+
+  private final Vertx vertx;
+  private final Handler<HttpServerRequest> handler;
+  private final String host;
+  private final Set<Reason> closedFor = EnumSet.noneOf(Reason.class);
+  private final List<HttpServer> servers = new ArrayList<>();
+  private int port;
+  private Future<?> lastChange = Future.succeededFuture();
+
+  ServicePort(Vertx vertx, Handler<HttpServerRequest> handler, String host, int port) {
+    this.vertx = vertx;
+    this.handler = handler;
+    this.host = host;
+    this.port = port;
+  }
+
+  Future<Integer> open() {
+    HttpServer server = vertx.createHttpServer().requestHandler(handler);
+    return server
+        .listen(port, host)
+        .map(
+            listening -> {
+              servers.add(listening);
+              port = listening.actualPort();
+              return port;
+            });
+  }
+
+  int port() {
+    return port;
+  }
+
+  /** Closes the socket and drops every connection. */
+  void drop(Reason reason) {
+    closedFor.add(reason);
+    chain(() -> closeAll(0));
+  }
+
+  /** Closes the socket; requests that run keep their connections. */
+  void drain(Reason reason) {
+    if (closedFor.add(reason)) {
+      List<HttpServer> draining = List.copyOf(servers);
+      draining.forEach(server -> server.shutdown(LONGEST_DRAIN_MINUTES, TimeUnit.MINUTES));
+    }
+  }
+
+  /** Removes a reason and listens again if it was the last one. */
+  void reopen(Reason reason) {
+    if (closedFor.remove(reason) && closedFor.isEmpty()) {
+      chain(() -> openWithRetry(OPEN_ATTEMPTS));
+    }
+  }
+
+  private void chain(java.util.function.Supplier<Future<?>> change) {
+    lastChange = lastChange.transform(ignored -> change.get().mapEmpty());
+  }
+
+  private Future<?> closeAll(long drainMinutes) {
+    List<HttpServer> closing = List.copyOf(servers);
+    servers.clear();
+    return Future.join(
+        closing.stream().map(server -> server.shutdown(drainMinutes, TimeUnit.MINUTES)).toList());
+  }
+
+  /** Another process may hold the port for a moment, because nothing reserves it. */
+  private Future<?> openWithRetry(int attempts) {
+    if (!closedFor.isEmpty()) {
+      return Future.succeededFuture();
+    }
+    return open()
+        .recover(
+            error -> {
+              if (attempts <= 1) {
+                LOG.errorf(error, "port %d cannot be opened again", port);
+                return Future.failedFuture(error);
+              }
+              Promise<Integer> retried = Promise.promise();
+              vertx.setTimer(
+                  RETRY_MS,
+                  timer ->
+                      openWithRetry(attempts - 1)
+                          .mapEmpty()
+                          .onComplete(x -> retried.tryComplete(port)));
+              return retried.future();
+            });
+  }
+}
--- /dev/null
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in for a model engine. */
+@NullMarked
+package org.cactusseam.standin.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/plain/Executions.java
@@ -0,0 +1,36 @@
+package org.cactusseam.standin.plain;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cactusseam.standin.Json;
+
+/**
+ * Counts executions by idempotency key, so that tests see whether a request ran more than once. It
+ * stands for the effects of the service, so crashes do not reset it.
+ */
+final class Executions {
+
+  private final Map<String, Integer> byKey = new TreeMap<>();
+  private int withoutKey;
+  private int total;
+
+  /** Counts an execution and returns its number over all keys, from 1. */
+  int add(Optional<String> key) {
+    total++;
+    if (key.isPresent()) {
+      byKey.merge(key.get(), 1, Integer::sum);
+    } else {
+      withoutKey++;
+    }
+    return total;
+  }
+
+  ObjectNode report() {
+    ObjectNode report = Json.object().put("total", total).put("without_key", withoutKey);
+    ObjectNode executions = report.putObject("executions");
+    byKey.forEach(executions::put);
+    return report;
+  }
+}
