--- a/cactusseam-core/src/main/java/org/cactusseam/model/ResultCode.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/ResultCode.java
@@ -67,6 +67,8 @@
   INVALID_COMMAND(5005, 422, Execution.NOT_RUN),
   /** The log did not answer; the command may have been recorded. Ask again by its identity. */
   COMMAND_UNCERTAIN(5006, 503, Execution.MAY_HAVE_RUN),
+  /** The configuration is already as the command states; nothing was recorded. */
+  UNCHANGED(5007, 200, Execution.RAN),
   /** The daemon met a fault of its own. */
   INTERNAL_ERROR(9001, 500, Execution.MAY_HAVE_RUN);
 
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/OperatorClient.java
@@ -0,0 +1,118 @@
+package org.cactusseam.cli;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.cactusseam.edge.answer.OperatorAnswer;
+
+/** Sends operators' commands to a daemon. */
+final class OperatorClient implements AutoCloseable {
+
+  private static final String PATH = "/operator/commands";
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpClient http;
+  private final URI server;
+  private final String key;
+  private final Duration timeout;
+
+  /** What came of a command. */
+  sealed interface Outcome {}
+
+  /**
+   * The daemon answered.
+   *
+   * @param answer answer
+   */
+  record Answered(OperatorAnswer answer) implements Outcome {}
+
+  /**
+   * The daemon did not answer.
+   *
+   * @param reason why, for people
+   * @param sent whether the command may have reached the daemon
+   */
+  record Unanswered(String reason, boolean sent) implements Outcome {}
+
+  OperatorClient(HttpClientOptions options, URI server, String key, Duration timeout) {
+    this.http = vertx.createHttpClient(options);
+    this.server = server;
+    this.key = key;
+    this.timeout = timeout;
+  }
+
+  /**
+   * Sends a command and waits for the answer. It is sent once; the caller decides whether to send
+   * it again under the same identity.
+   *
+   * @param command command
+   * @param commandId identity of the command
+   * @param format format of a table in the answer
+   * @return what came of it
+   */
+  Outcome send(String command, String commandId, OperatorAnswer.Format format) {
+    String body =
+        new JsonObject()
+            .put("command", command)
+            .put("command_id", commandId)
+            .put("format", format.name().toLowerCase(Locale.ROOT))
+            .encode();
+    boolean[] sent = {false};
+    Future<Outcome> outcome =
+        http.request(Urls.request(server, HttpMethod.POST, PATH, key))
+            .compose(
+                request -> {
+                  sent[0] = true;
+                  return request.putHeader("Content-Type", "application/json").send(body);
+                })
+            .compose(OperatorClient::read);
+    return await(outcome, sent);
+  }
+
+  private static Future<Outcome> read(HttpClientResponse response) {
+    return response
+        .body()
+        .map(
+            body ->
+                OperatorAnswer.parse(body.toString())
+                    .<Outcome>map(Answered::new)
+                    .orElseGet(
+                        () ->
+                            new Unanswered(
+                                "status "
+                                    + response.statusCode()
+                                    + " without an answer of cactusseam",
+                                true)));
+  }
+
+  private Outcome await(Future<Outcome> outcome, boolean[] sent) {
+    try {
+      return outcome
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      return new Unanswered(String.valueOf(e.getCause()), sent[0]);
+    } catch (TimeoutException e) {
+      return new Unanswered("no answer within " + timeout.toMillis() + " ms", sent[0]);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return new Unanswered("interrupted", sent[0]);
+    }
+  }
+
+  @Override
+  public void close() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/OrderCommand.java
@@ -0,0 +1,202 @@
+package org.cactusseam.cli;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import joptsimple.NonOptionArgumentSpec;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import joptsimple.util.PathConverter;
+import org.cactusseam.edge.answer.OperatorAnswer;
+import org.cactusseam.logic.query.Command;
+import org.cactusseam.logic.query.CommandError;
+import org.cactusseam.logic.query.CommandParser;
+import org.cactusseam.model.Names;
+import org.cactusseam.model.ResultCode;
+
+/**
+ * Sends commands that change something. The identity of a command is printed before the command is
+ * sent, so that an uncertain result can be asked for with {@code show command ID}.
+ */
+public final class OrderCommand implements Subcommand {
+
+  private final OptionParser parser = new OptionParser();
+  private final ConnectionOptions connection = new ConnectionOptions(parser, "15s");
+  private final OptionSpec<Void> json = parser.accepts("json", "prints one JSON object a command");
+  private final OptionSpec<Path> file =
+      parser
+          .accepts("file", "file with one command a line; lines that start with # are skipped")
+          .withRequiredArg()
+          .withValuesConvertedBy(new PathConverter())
+          .describedAs("FILE");
+  private final OptionSpec<String> commandId =
+      parser
+          .accepts("command-id", "identity of a command that is sent again")
+          .withRequiredArg()
+          .describedAs("ID");
+  private final NonOptionArgumentSpec<String> words =
+      parser.nonOptions("command, for example: take domain ost-wien out");
+
+  /** How the commands of a run ended. */
+  private enum Result {
+    IN_FORCE,
+    UNCHANGED,
+    WAITING,
+    FAILED
+  }
+
+  /** Declares the options. */
+  public OrderCommand() {}
+
+  @Override
+  public String name() {
+    return "order";
+  }
+
+  @Override
+  public String summary() {
+    return "sends commands that change something";
+  }
+
+  @Override
+  public OptionParser parser() {
+    return parser;
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, Terminal terminal) {
+    boolean hasWords = !options.valuesOf(words).isEmpty();
+    if (options.has(file) == hasWords) {
+      throw new UsageException("give either a command or --file");
+    }
+    if (options.has(file) && options.has(commandId)) {
+      throw new UsageException("--command-id goes with a single command");
+    }
+    if (options.has(commandId) && !Names.isValid(options.valueOf(commandId))) {
+      throw new UsageException("--command-id is not the identity of a command");
+    }
+    Either<List<String>, List<OrderFile.Entry>> orders =
+        hasWords ? single(options) : OrderFile.read(options.valueOf(file));
+    if (orders.isLeft()) {
+      orders.getLeft().forEach(terminal.err()::println);
+      return ExitCode.WRONG_USAGE;
+    }
+    try (OperatorClient client =
+        new OperatorClient(
+            connection.http(options),
+            connection.servers(options).getFirst(),
+            connection.key(options),
+            connection.timeout(options))) {
+      return sendAll(orders.get(), options, client, terminal);
+    }
+  }
+
+  private Either<List<String>, List<OrderFile.Entry>> single(OptionSet options) {
+    String text = String.join(" ", options.valuesOf(words));
+    Either<CommandError, Command> command = CommandParser.parse(text);
+    if (command.isLeft()) {
+      throw new UsageException(command.getLeft().message());
+    }
+    if (!(command.get() instanceof Command.Order)) {
+      throw new UsageException("the command changes nothing; use 'cactusseam query'");
+    }
+    return Either.right(List.of(new OrderFile.Entry("", text)));
+  }
+
+  private ExitCode sendAll(
+      List<OrderFile.Entry> orders, OptionSet options, OperatorClient client, Terminal terminal) {
+    Map<Result, Integer> counts = new EnumMap<>(Result.class);
+    ExitCode code = ExitCode.OK;
+    int sent = 0;
+    for (OrderFile.Entry order : orders) {
+      String id =
+          options.has(commandId) ? options.valueOf(commandId) : UUID.randomUUID().toString();
+      terminal.err().println(prefix(order) + "command " + id + ": " + order.text());
+      OperatorClient.Outcome outcome = client.send(order.text(), id, OperatorAnswer.Format.TABLE);
+      sent++;
+      ExitCode one = report(order, id, outcome, options.has(json), terminal);
+      counts.merge(result(one, outcome), 1, Integer::sum);
+      code = code == ExitCode.OK ? one : code;
+      if (one != ExitCode.OK && one != ExitCode.WAITING) {
+        // A later command may rely on this one, so nothing more is sent.
+        code = one;
+        break;
+      }
+    }
+    if (options.has(file)) {
+      printCounts(counts, orders.size() - sent, terminal);
+    }
+    return code;
+  }
+
+  private static Result result(ExitCode code, OperatorClient.Outcome outcome) {
+    boolean unchanged =
+        outcome instanceof OperatorClient.Answered(OperatorAnswer answer)
+            && answer.code() == ResultCode.UNCHANGED.number();
+    return switch (code) {
+      case OK -> unchanged ? Result.UNCHANGED : Result.IN_FORCE;
+      case WAITING -> Result.WAITING;
+      default -> Result.FAILED;
+    };
+  }
+
+  private static String prefix(OrderFile.Entry order) {
+    return order.place().isEmpty() ? "" : order.place() + ": ";
+  }
+
+  private static ExitCode report(
+      OrderFile.Entry order,
+      String id,
+      OperatorClient.Outcome outcome,
+      boolean asJson,
+      Terminal terminal) {
+    return switch (outcome) {
+      case OperatorClient.Answered(OperatorAnswer answer) -> {
+        String text =
+            answer.code() + " " + answer.name() + ": " + answer.message() + " (command " + id + ")";
+        terminal.out().println(asJson ? answer.toJson() : prefix(order) + text);
+        yield ExitCode.ofResult(answer.code());
+      }
+      case OperatorClient.Unanswered unanswered -> {
+        terminal.err().println(prefix(order) + "no answer: " + unanswered.reason());
+        terminal
+            .err()
+            .println(
+                unanswered.sent()
+                    ? "The result is not known; ask with: cactusseam query show command " + id
+                    : "The command was not sent.");
+        yield ExitCode.UNREACHABLE;
+      }
+    };
+  }
+
+  private static void printCounts(Map<Result, Integer> counts, int unsent, Terminal terminal) {
+    int unchanged = counts.getOrDefault(Result.UNCHANGED, 0);
+    int total = counts.values().stream().mapToInt(Integer::intValue).sum();
+    if (total == 0) {
+      terminal.err().println("the file has no commands");
+      return;
+    }
+    if (unchanged == total && unsent == 0) {
+      terminal.err().println("nothing changed: all " + total + " commands were already in force");
+      return;
+    }
+    terminal
+        .err()
+        .println(
+            counts.getOrDefault(Result.IN_FORCE, 0)
+                + " in force, "
+                + unchanged
+                + " unchanged, "
+                + counts.getOrDefault(Result.WAITING, 0)
+                + " waiting, "
+                + counts.getOrDefault(Result.FAILED, 0)
+                + " failed, "
+                + unsent
+                + " not sent");
+  }
+}
