Build the admission shard from small classes

Cause: the first shard knew only open counts and the cold limit. Change: confirmation window, cold limit, silence of 500 ms, ramp, expected peak memory from learned output lengths, class order, fair shares by generated tokens, reserved purchased shares with borrowing, refusal on arrival with a retry time, prefix affinity, retry budget, circuit breaker and orphans of lost entry daemons. Each part has a switch in AdmissionSettings. New inputs: lease, cacheEvent, requesterLost, adopt; new output: load. A waiting attempt that was not asked for again for 1 s is passed over, after 3 s it is dropped. A repeated request whose unconfirmed permit names a server that went out of service is refused. Found by a test: reserved slots blocked the only slot of a cold shard for lower classes; they are rounded down now.

--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
@@ -0,0 +1,162 @@
+package org.cactusseam.logic.admission;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/**
+ * Settings of the admission decision. The presets hold the values that {@code docs/measurements.md}
+ * justifies.
+ *
+ * @param mechanisms parts that are turned on
+ * @param choice rule that picks a backend server
+ * @param headroom part of engine memory that expected peaks leave free, 0 to 1
+ * @param rampFactor factor by which the limit of a warming server grows in a step
+ * @param rampStepMillis least time between two steps, in milliseconds
+ * @param silenceMillis silence after which a server with open streams counts as cold
+ * @param reservedPart part of the unused shares of higher classes that is kept free, 0 to 1
+ * @param sameClassReservedPart the same for unused shares of the requester's own class
+ * @param borrowMillis expected run time up to which an attempt may borrow reserved capacity
+ * @param borrowPart part of the reserved capacity that may be borrowed, 0 to 1
+ * @param waitingMargin part of the capacity that classes that may wait leave free, 0 to 1
+ * @param deadlineServicePart part of the expected run time that must fit before the deadline
+ * @param affinityWeight load difference that a complete prefix match outweighs, 0 to 1
+ * @param accountQueueLimit attempts of one account and class that may wait in a shard
+ * @param retryPart retries granted for each first attempt
+ * @param breakerFailures consecutive failures that open a circuit breaker
+ */
+public record AdmissionSettings(
+    Set<Mechanism> mechanisms,
+    ServerChoice choice,
+    double headroom,
+    double rampFactor,
+    long rampStepMillis,
+    long silenceMillis,
+    double reservedPart,
+    double sameClassReservedPart,
+    long borrowMillis,
+    double borrowPart,
+    double waitingMargin,
+    double deadlineServicePart,
+    double affinityWeight,
+    int accountQueueLimit,
+    double retryPart,
+    int breakerFailures) {
+
+  private static final long SILENCE_MILLIS = 500;
+
+  /** Copies the set and checks the ranges. */
+  public AdmissionSettings {
+    mechanisms = Set.copyOf(mechanisms);
+    requirePart("headroom", headroom);
+    requirePart("reservedPart", reservedPart);
+    requirePart("sameClassReservedPart", sameClassReservedPart);
+    requirePart("borrowPart", borrowPart);
+    requirePart("waitingMargin", waitingMargin);
+    if (rampFactor <= 1 || accountQueueLimit < 1 || breakerFailures < 1) {
+      throw new IllegalArgumentException("ramp factor, queue limit or breaker out of range");
+    }
+  }
+
+  private static void requirePart(String name, double value) {
+    if (!(value >= 0 && value <= 1)) {
+      throw new IllegalArgumentException(name + " must be 0 to 1: " + value);
+    }
+  }
+
+  /**
+   * Returns the preset of deployment zopfwerk, which weighs preemptions and stall time most.
+   *
+   * @return settings
+   */
+  public static AdmissionSettings zopfwerk() {
+    return new AdmissionSettings(
+        EnumSet.allOf(Mechanism.class),
+        ServerChoice.EXPECTED_LOAD,
+        0.15,
+        2.0,
+        250,
+        SILENCE_MILLIS,
+        1.0,
+        0.0,
+        1_500,
+        0.25,
+        0.1,
+        0.5,
+        0.2,
+        256,
+        0.1,
+        5);
+  }
+
+  /**
+   * Returns the preset of deployment flagline, which weighs the tail between tokens and service
+   * during changes of failure domains most.
+   *
+   * @return settings
+   */
+  public static AdmissionSettings flagline() {
+    return zopfwerk();
+  }
+
+  /**
+   * Returns a baseline: a common load balancer with a first-in-first-out queue and a limit of
+   * connections for each backend server, without estimates.
+   *
+   * @param choice rule that picks a backend server
+   * @return settings
+   */
+  public static AdmissionSettings baseline(ServerChoice choice) {
+    AdmissionSettings preset = zopfwerk();
+    return preset.with(EnumSet.noneOf(Mechanism.class), choice);
+  }
+
+  /**
+   * Returns a copy with other parts turned on and another choice.
+   *
+   * @param newMechanisms parts that are turned on
+   * @param newChoice rule that picks a backend server
+   * @return the copy
+   */
+  public AdmissionSettings with(Set<Mechanism> newMechanisms, ServerChoice newChoice) {
+    return new AdmissionSettings(
+        newMechanisms,
+        newChoice,
+        headroom,
+        rampFactor,
+        rampStepMillis,
+        silenceMillis,
+        reservedPart,
+        sameClassReservedPart,
+        borrowMillis,
+        borrowPart,
+        waitingMargin,
+        deadlineServicePart,
+        affinityWeight,
+        accountQueueLimit,
+        retryPart,
+        breakerFailures);
+  }
+
+  /**
+   * Returns a copy with one part turned off.
+   *
+   * @param mechanism part
+   * @return the copy
+   */
+  public AdmissionSettings without(Mechanism mechanism) {
+    EnumSet<Mechanism> rest = EnumSet.noneOf(Mechanism.class);
+    rest.addAll(mechanisms);
+    rest.remove(mechanism);
+    return with(rest, choice);
+  }
+
+  /**
+   * Tells whether a part is turned on.
+   *
+   * @param mechanism part
+   * @return true if it is on
+   */
+  public boolean uses(Mechanism mechanism) {
+    return mechanisms.contains(mechanism);
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
@@ -0,0 +1,56 @@
+package org.cactusseam.logic.admission;
+
+import org.cactusseam.model.admission.Permit;
+import org.cactusseam.model.admission.PermitRequest;
+import org.jspecify.annotations.Nullable;
+
+/** One attempt that waits or runs in a shard. */
+final class Attempt {
+
+  final PermitRequest request;
+  final AccountLedger ledger;
+  final OutputLengths.Source lengths;
+  final int rank;
+  final boolean mayWait;
+  final long arrivedAt;
+  final long deadline;
+  final long sequence;
+  long askedAt;
+  boolean waiting = true;
+
+  @Nullable ServerState server;
+  @Nullable Permit permit;
+  long grantedAt;
+  boolean confirmed;
+  long tokens;
+  long progressAt;
+  double charged;
+  double memoryCharged;
+
+  /** Whether the requester is gone; only load reports can show that the stream ended. */
+  boolean orphaned;
+
+  Attempt(
+      PermitRequest request,
+      AccountLedger ledger,
+      OutputLengths.Source lengths,
+      int rank,
+      boolean mayWait,
+      long now,
+      long sequence) {
+    this.request = request;
+    this.ledger = ledger;
+    this.lengths = lengths;
+    this.rank = rank;
+    this.mayWait = mayWait;
+    this.arrivedAt = now;
+    this.deadline = now + request.patienceMillis();
+    this.sequence = sequence;
+    this.askedAt = now;
+  }
+
+  /** Returns the expected output in tokens, given what was generated so far. */
+  double expectedTotal() {
+    return lengths.expectedTotal(tokens, request.maximumTokens());
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/MemoryForecast.java
@@ -0,0 +1,82 @@
+package org.cactusseam.logic.admission;
+
+import java.util.Arrays;
+
+/**
+ * Expected peak of the engine memory of one backend server. All streams are taken to advance at the
+ * same speed; a stream frees its memory when its expected remaining output is generated. The sum of
+ * all expected final sizes would be too high, because short streams end before long ones peak.
+ */
+final class MemoryForecast {
+
+  private long[] order = new long[16];
+  private double[] held = new double[16];
+  private double[] spare = new double[16];
+  private double[] remaining = new double[16];
+  private int size;
+
+  /** Forgets all streams. */
+  void clear() {
+    size = 0;
+  }
+
+  /**
+   * Adds a stream; {@link #sort} must be called after the last one.
+   *
+   * @param heldTokens tokens in memory now
+   * @param remainingTokens expected tokens still to come
+   */
+  void add(double heldTokens, double remainingTokens) {
+    if (size == order.length) {
+      order = Arrays.copyOf(order, size * 2);
+      held = Arrays.copyOf(held, size * 2);
+      spare = new double[size * 2];
+      remaining = Arrays.copyOf(remaining, size * 2);
+    }
+    held[size] = heldTokens;
+    order[size] = ((long) Math.min(remainingTokens, 1L << 30) << 20) | size;
+    size++;
+  }
+
+  /** Orders the streams by expected end, the latest first. */
+  void sort() {
+    Arrays.sort(order, 0, size);
+    for (int index = 0; index < size; index++) {
+      long entry = order[size - 1 - index];
+      spare[index] = held[(int) (entry & ((1 << 20) - 1))];
+      remaining[index] = entry >> 20;
+    }
+    double[] unsorted = held;
+    held = spare;
+    spare = unsorted;
+  }
+
+  /**
+   * Returns the expected peak with one more stream.
+   *
+   * @param heldTokens memory that the new stream needs at once
+   * @param remainingTokens its expected output
+   * @return peak in tokens
+   */
+  double peakWith(double heldTokens, double remainingTokens) {
+    double peak = 0;
+    double sum = 0;
+    int count = 0;
+    boolean added = false;
+    for (int index = 0; index < size; index++) {
+      if (!added && remaining[index] <= remainingTokens) {
+        added = true;
+        sum += heldTokens;
+        count++;
+        peak = Math.max(peak, sum + count * remainingTokens);
+      }
+      sum += held[index];
+      count++;
+      peak = Math.max(peak, sum + count * remaining[index]);
+    }
+    if (!added) {
+      peak = Math.max(peak, sum + heldTokens + (count + 1) * remainingTokens);
+    }
+    return peak;
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Reservations.java
@@ -0,0 +1,80 @@
+package org.cactusseam.logic.admission;
+
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * Capacity of a shard that is kept for purchased shares that are not in use. Attempts that are
+ * expected to end soon may borrow a part of it.
+ */
+final class Reservations {
+
+  private final AdmissionSettings settings;
+  private final double[] unusedByRank = new double[WaitingRoom.RANKS];
+  private double slots;
+  private double memory;
+  private double freeSlots;
+  private double freeMemory;
+
+  Reservations(AdmissionSettings settings) {
+    this.settings = settings;
+  }
+
+  /**
+   * Computes free capacity and unused shares. Only servers that can be used count.
+   *
+   * @param servers servers of the shard
+   * @param purchased accounts that bought a share
+   */
+  void refresh(Collection<ServerState> servers, List<AccountLedger> purchased) {
+    slots = 0;
+    memory = 0;
+    freeSlots = 0;
+    freeMemory = 0;
+    for (ServerState server : servers) {
+      if (server.inService()) {
+        int limit = server.limit();
+        slots += limit;
+        freeSlots += Math.max(0, limit - server.open());
+        memory += server.memoryLimit();
+        freeMemory += Math.max(0, server.memoryLimit() - server.peak());
+      }
+    }
+    Arrays.fill(unusedByRank, 0);
+    for (AccountLedger ledger : purchased) {
+      unusedByRank[ledger.rank] += ledger.unusedPart(slots, memory);
+    }
+  }
+
+  /**
+   * Tells whether an attempt leaves enough for the unused shares of others. Reserved slots are
+   * rounded down, so that a shard of few slots, such as one in cold start, serves every class.
+   *
+   * @param attempt attempt
+   * @param needed memory that it is expected to need, in tokens
+   * @param runMillis expected run time
+   */
+  boolean leavesEnough(Attempt attempt, double needed, double runMillis) {
+    double reserved = reservedAgainst(attempt);
+    if (reserved <= 0) {
+      return true;
+    }
+    if (runMillis <= settings.borrowMillis()) {
+      reserved *= 1 - settings.borrowPart();
+    }
+    boolean enoughSlots = freeSlots - 1 >= Math.floor(reserved * slots);
+    boolean enoughMemory = memory == 0 || freeMemory - needed >= reserved * memory;
+    return enoughSlots && enoughMemory;
+  }
+
+  private double reservedAgainst(Attempt attempt) {
+    double higher = 0;
+    for (int rank = 0; rank < attempt.rank; rank++) {
+      higher += unusedByRank[rank];
+    }
+    double own = attempt.ledger.unusedPart(slots, memory);
+    double sameClass = Math.max(0, unusedByRank[attempt.rank] - own);
+    return higher * settings.reservedPart() + sameClass * settings.sameClassReservedPart();
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -0,0 +1,142 @@
+package org.cactusseam.logic.admission;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Picks the backend server of an attempt among those that can take it. */
+final class ServerChooser {
+
+  /** Why an attempt was not placed. */
+  enum Obstacle {
+    /** A server was found. */
+    NONE,
+    /** No server has room. */
+    CAPACITY,
+    /** Every server with room failed an earlier attempt of the request. */
+    EXCLUDED
+  }
+
+  private final AdmissionSettings settings;
+  private final List<ServerState> candidates = new ArrayList<>();
+  private Obstacle obstacle = Obstacle.NONE;
+  private int turn;
+
+  ServerChooser(AdmissionSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Returns why the last call of {@link #choose} found no server. */
+  Obstacle obstacle() {
+    return obstacle;
+  }
+
+  /**
+   * Picks a server.
+   *
+   * @param attempt attempt
+   * @param servers servers of the shard, in a fixed order
+   * @param now time in milliseconds
+   * @return server, or null if none can take the attempt now
+   */
+  @Nullable ServerState choose(Attempt attempt, Collection<ServerState> servers, long now) {
+    candidates.clear();
+    boolean excluded = false;
+    for (ServerState server : servers) {
+      if (!server.hasRoom(now) || !leavesMargin(attempt, server)) {
+        continue;
+      }
+      if (attempt.request.excluded().contains(server.description().name())) {
+        excluded = true;
+      } else {
+        candidates.add(server);
+      }
+    }
+    ServerState best =
+        switch (settings.choice()) {
+          case ROUND_ROBIN -> candidates.isEmpty() ? null : nextInTurn(servers);
+          case LEAST_CONNECTIONS -> fewestOpen();
+          case LEAST_REPORTED_LOAD -> leastReported();
+          case EXPECTED_LOAD -> leastExpected(attempt);
+        };
+    if (best != null) {
+      obstacle = Obstacle.NONE;
+    } else {
+      obstacle = excluded && candidates.isEmpty() ? Obstacle.EXCLUDED : Obstacle.CAPACITY;
+    }
+    return best;
+  }
+
+  private boolean leavesMargin(Attempt attempt, ServerState server) {
+    if (!attempt.mayWait || !settings.uses(Mechanism.WAITING_YIELDS)) {
+      return true;
+    }
+    return server.open() + 1 <= Math.max(1, server.limit() * (1 - settings.waitingMargin()));
+  }
+
+  private ServerState nextInTurn(Collection<ServerState> servers) {
+    List<ServerState> all = List.copyOf(servers);
+    while (true) {
+      turn = (turn + 1) % all.size();
+      if (candidates.contains(all.get(turn))) {
+        return all.get(turn);
+      }
+    }
+  }
+
+  private @Nullable ServerState fewestOpen() {
+    ServerState best = null;
+    for (ServerState server : candidates) {
+      if (best == null || server.open() < best.open()) {
+        best = server;
+      }
+    }
+    return best;
+  }
+
+  private @Nullable ServerState leastReported() {
+    ServerState best = null;
+    for (ServerState server : candidates) {
+      if (best == null || server.reportedLoad() < best.reportedLoad()) {
+        best = server;
+      }
+    }
+    return best;
+  }
+
+  private @Nullable ServerState leastExpected(Attempt attempt) {
+    ServerState best = null;
+    double bestCost = Double.POSITIVE_INFINITY;
+    for (ServerState server : candidates) {
+      double load = expectedLoad(attempt, server);
+      double cost = load - affinity(attempt, server);
+      if (load <= 1 && cost < bestCost) {
+        best = server;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Returns the load with the attempt as a part of the capacity; over 1 if it does not fit. */
+  private double expectedLoad(Attempt attempt, ServerState server) {
+    double slots = (server.open() + 1.0) / server.description().warmLimit();
+    boolean engine = server.description().memoryTokens() > 0;
+    if (!engine || !settings.uses(Mechanism.MEMORY_ESTIMATE) || server.open() == 0) {
+      return slots;
+    }
+    double peak = server.peakWith(attempt.request.promptTokens(), attempt.expectedTotal());
+    boolean yields = attempt.mayWait && settings.uses(Mechanism.WAITING_YIELDS);
+    double margin = yields ? 1 - settings.waitingMargin() : 1;
+    double memory = peak / (server.memoryLimit() * margin);
+    return Math.max(slots, memory);
+  }
+
+  private double affinity(Attempt attempt, ServerState server) {
+    if (!settings.uses(Mechanism.PREFIX_AFFINITY) || attempt.request.prefixHashes().isEmpty()) {
+      return 0;
+    }
+    return settings.affinityWeight() * server.cache.match(attempt.request.prefixHashes());
+  }
+}
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
@@ -1,34 +1,251 @@
 package org.cactusseam.logic.admission;
 
+import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Objects;
+import java.util.List;
 import java.util.Set;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.admission.BackendCondition;
-import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.admission.LoadReport;
 import org.jspecify.annotations.Nullable;
 
 /** What the owner of a shard knows of one backend server. */
 final class ServerState {
 
-  @Nullable BackendServer description;
-  @Nullable String incarnation;
-  boolean cold = true;
-  int open;
-  final Set<PermitRequestId> unconfirmed = new HashSet<>();
+  /**
+   * Time for which warm reports are ignored after fresher news of a cold start. Reports lag, so one
+   * that was made before the start can arrive after it.
+   */
+  private static final long REPORT_LAG_MILLIS = 1_000;
 
-  BackendServer describe() {
-    return Objects.requireNonNull(description);
+  final List<Attempt> attempts = new ArrayList<>();
+  final PrefixCacheView cache = new PrefixCacheView();
+  final CircuitBreaker breaker;
+
+  private final AdmissionSettings settings;
+  private final Ramp ramp;
+  private final MemoryForecast forecast = new MemoryForecast();
+  private final Set<String> formerIncarnations = new HashSet<>();
+  private final Orphans orphans = new Orphans();
+  private BackendServer description;
+  private boolean inService;
+  private @Nullable String incarnation;
+  private boolean cold = true;
+  private boolean silent;
+  private int unconfirmed;
+  private long lastHeard;
+  private long ignoreWarmUntil;
+  private boolean forecastStale;
+  private @Nullable LoadReport reported;
+
+  ServerState(BackendServer description, AdmissionSettings settings) {
+    this.description = description;
+    this.settings = settings;
+    this.ramp = new Ramp(settings.rampFactor(), settings.rampStepMillis());
+    this.breaker = new CircuitBreaker(settings.breakerFailures());
+  }
+
+  BackendServer description() {
+    return description;
+  }
+
+  boolean inService() {
+    return inService;
+  }
+
+  boolean cold() {
+    return cold;
+  }
+
+  int open() {
+    return attempts.size();
+  }
+
+  int unconfirmed() {
+    return unconfirmed;
+  }
+
+  /** Sets the description; a server that comes back into service counts as cold until heard. */
+  void describe(BackendServer newDescription, boolean newInService, long now) {
+    description = newDescription;
+    if (newInService && !inService) {
+      turnCold(now);
+      ignoreWarmUntil = now;
+    }
+    inService = newInService;
+  }
+
+  /** Notes the state in the head of a response. */
+  void heard(BackendCondition condition, long now) {
+    lastHeard = now;
+    breaker.succeeded();
+    boolean restarted = noteIncarnation(condition.incarnation());
+    if (condition.cold() || restarted) {
+      turnCold(now);
+    } else {
+      turnWarm(now);
+    }
+  }
+
+  /** Notes a report, which may be older than the last head of a response. */
+  void heard(LoadReport report, long now) {
+    if (formerIncarnations.contains(report.condition().incarnation())) {
+      return;
+    }
+    lastHeard = now;
+    reported = report;
+    boolean restarted = noteIncarnation(report.condition().incarnation());
+    if (report.condition().cold() || restarted) {
+      cold = true;
+      silent = false;
+    } else if (now >= ignoreWarmUntil) {
+      turnWarm(now);
+    }
+  }
+
+  /** Notes that tokens arrived from the server. */
+  void heardTokens(long now) {
+    lastHeard = now;
+  }
+
+  /** Notes that the connection of a stream broke. */
+  void broke(long now) {
+    breaker.failed(now);
+    turnCold(now);
+  }
+
+  /** Lets time pass: a server that holds streams and says nothing counts as cold. */
+  void tick(long now) {
+    boolean quiet = now - lastHeard > settings.silenceMillis() && !attempts.isEmpty();
+    if (quiet && settings.uses(Mechanism.SILENCE_IS_COLD) && !cold) {
+      cold = true;
+      silent = true;
+    }
+  }
+
+  /** Adds a granted attempt to the confirmation window. */
+  void open(Attempt attempt, long now) {
+    if (attempts.isEmpty()) {
+      lastHeard = Math.max(lastHeard, now);
+    }
+    attempts.add(attempt);
+    unconfirmed++;
+    forecastStale = true;
+  }
+
+  /** Takes an attempt out of the confirmation window. */
+  void confirm(Attempt attempt) {
+    if (!attempt.confirmed) {
+      attempt.confirmed = true;
+      unconfirmed--;
+    }
+  }
+
+  /** Takes an ended attempt out. */
+  void close(Attempt attempt) {
+    confirm(attempt);
+    attempts.remove(attempt);
+    forecastStale = true;
+  }
+
+  /** Notes that the expected memory of an attempt changed. */
+  void changed() {
+    forecastStale = true;
+  }
+
+  /** Returns attempts of lost requesters that reports show to be gone. */
+  List<Attempt> goneOrphans(LoadReport report, long now) {
+    return orphans.gone(attempts, report, now);
+  }
+
+  /** Returns how many attempts the server may have open now. */
+  int limit() {
+    int warmLimit = description.warmLimit();
+    if (settings.uses(Mechanism.COLD_LIMIT) && cold) {
+      return description.coldLimit();
+    }
+    return settings.uses(Mechanism.RAMP) ? Math.min(warmLimit, ramp.limit()) : warmLimit;
+  }
+
+  /** Tells whether one more attempt keeps the limit and the confirmation window. */
+  boolean hasRoom(long now) {
+    boolean window =
+        !settings.uses(Mechanism.CONFIRMATION_WINDOW) || unconfirmed < description.coldLimit();
+    boolean closed = !settings.uses(Mechanism.CIRCUIT_BREAKER) || breaker.allows(unconfirmed, now);
+    return inService && window && closed && attempts.size() < limit();
+  }
+
+  /** Returns memory that expected peaks may use, in tokens. */
+  double memoryLimit() {
+    return description.memoryTokens() * (1 - settings.headroom());
+  }
+
+  /** Returns the expected peak of engine memory with one more attempt, in tokens. */
+  double peakWith(double held, double expected) {
+    refreshForecast();
+    return forecast.peakWith(held, expected);
+  }
+
+  /** Returns the expected peak of engine memory, in tokens. */
+  double peak() {
+    return peakWith(0, 0);
+  }
+
+  /** Returns the load in the last report as a part of the capacity; 0 if none came yet. */
+  double reportedLoad() {
+    LoadReport report = reported;
+    if (report == null) {
+      return 0;
+    }
+    double slots = (double) (report.running() + report.waiting()) / description.warmLimit();
+    double memory =
+        report.memoryTotalTokens() == 0
+            ? 0
+            : (double) report.memoryUsedTokens() / report.memoryTotalTokens();
+    return Math.max(slots, memory);
+  }
+
+  private void refreshForecast() {
+    if (!forecastStale) {
+      return;
+    }
+    forecast.clear();
+    for (Attempt attempt : attempts) {
+      double expected = attempt.expectedTotal();
+      double held = attempt.request.promptTokens() + attempt.tokens;
+      forecast.add(held, expected - attempt.tokens);
+    }
+    forecast.sort();
+    forecastStale = false;
+  }
+
+  private boolean noteIncarnation(String name) {
+    if (name.equals(incarnation)) {
+      return false;
+    }
+    boolean restarted = incarnation != null;
+    if (restarted) {
+      formerIncarnations.add(incarnation);
+      cache.clear();
+    }
+    incarnation = name;
+    return restarted;
   }
 
-  void observe(BackendCondition condition) {
-    incarnation = condition.incarnation();
-    cold = condition.cold();
+  private void turnCold(long now) {
+    cold = true;
+    silent = false;
+    ignoreWarmUntil = now + REPORT_LAG_MILLIS;
   }
 
-  /** Tells whether one more attempt keeps both the limit and the confirmation window. */
-  boolean hasRoom() {
-    int limit = cold ? describe().coldLimit() : describe().warmLimit();
-    return open < limit && unconfirmed.size() < describe().coldLimit();
+  private void turnWarm(long now) {
+    if (cold) {
+      int borne = silent ? attempts.size() : 0;
+      ramp.restart(Math.max(description.coldLimit(), borne), now);
+    } else {
+      ramp.heardWarm(description.warmLimit(), now);
+    }
+    cold = false;
+    silent = false;
   }
 }
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/PausedClock.java
@@ -0,0 +1,56 @@
+package org.cactusseam.logic.replay;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+
+/** Clock that stands still until it is set, so that a replay does not depend on the machine. */
+public final class PausedClock extends Clock {
+
+  private long millis;
+
+  /** Creates a clock at the epoch. */
+  public PausedClock() {}
+
+  /**
+   * Sets the time.
+   *
+   * @param newMillis milliseconds since the epoch, not before the current time
+   */
+  public void setMillis(long newMillis) {
+    if (newMillis < millis) {
+      throw new IllegalArgumentException("time must not go back from " + millis);
+    }
+    millis = newMillis;
+  }
+
+  /**
+   * Lets time pass.
+   *
+   * @param milliseconds milliseconds, not negative
+   */
+  public void advance(long milliseconds) {
+    setMillis(millis + milliseconds);
+  }
+
+  @Override
+  public long millis() {
+    return millis;
+  }
+
+  @Override
+  public Instant instant() {
+    return Instant.ofEpochMilli(millis);
+  }
+
+  @Override
+  public ZoneId getZone() {
+    return ZoneOffset.UTC;
+  }
+
+  @Override
+  public Clock withZone(ZoneId zone) {
+    throw new UnsupportedOperationException("a paused clock has one zone");
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
@@ -0,0 +1,307 @@
+package org.cactusseam.logic.admission;
+
+import static org.cactusseam.logic.admission.ShardFixture.COLD;
+import static org.cactusseam.logic.admission.ShardFixture.NODE;
+import static org.cactusseam.logic.admission.ShardFixture.WARM;
+import static org.cactusseam.logic.admission.ShardFixture.report;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import org.cactusseam.model.ResultCode;
+import org.cactusseam.model.ServiceState;
+import org.cactusseam.model.admission.AdmissionDecision;
+import org.cactusseam.model.admission.AttemptEnd;
+import org.cactusseam.model.admission.BackendCondition;
+import org.cactusseam.model.admission.Permit;
+import org.cactusseam.model.admission.PermitRequest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards the rules that decide when and where an attempt runs. */
+class AdmissionShardTest {
+
+  private final ShardFixture fixture = new ShardFixture(AdmissionSettings.zopfwerk());
+  private final AdmissionShard shard = fixture.shard;
+
+  @ParameterizedTest(name = "cold limit {0}, {1} requests: {2} sent unconfirmed")
+  @CsvSource({"1, 5, 1", "3, 5, 3", "3, 2, 2"})
+  void a_warm_server_gets_no_more_unconfirmed_attempts_than_it_bears_cold(
+      int coldLimit, int requests, int expected) {
+    fixture.server("zopf-1", coldLimit, 50, 1_000_000).warm();
+
+    assertThat(fixture.askMany("premium", requests), hasSize(expected));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({"report, 2", "head, 2", "incarnation, 2", "broken, 2", "silence, 2", "nothing, 12"})
+  void a_server_that_turned_cold_gets_no_more_than_its_cold_limit(String event, int expected) {
+    fixture.server("zopf-1", 2, 50, 1_000_000).warm();
+    List<Permit> first = fixture.askMany("premium", 2);
+    first.forEach(permit -> shard.confirmed(permit.id(), WARM));
+
+    switch (event) {
+      case "report" -> shard.loadReport(fixture.name(0), report(COLD, 2));
+      case "head" -> shard.confirmed(first.getFirst().id(), COLD);
+      case "incarnation" ->
+          shard.confirmed(first.getFirst().id(), new BackendCondition("run-2", false));
+      case "broken" -> shard.ended(first.getFirst().id(), AttemptEnd.BROKEN, 3);
+      case "silence" -> {
+        fixture.clock.advance(501);
+        shard.tick();
+      }
+      default -> {}
+    }
+
+    assertThat(fillConfirming(10, event.equals("nothing")), is(expected));
+  }
+
+  /** Sends requests and confirms each grant; returns how many attempts are open at the end. */
+  private int fillConfirming(int requests, boolean warm) {
+    for (int index = 0; index < requests; index++) {
+      shard.request(fixture.request("premium"));
+      if (warm) {
+        fixture.grants().forEach(permit -> shard.confirmed(permit.id(), WARM));
+      }
+    }
+    return shard.servers().iterator().next().open();
+  }
+
+  @Test
+  void a_warm_report_that_was_made_before_a_cold_head_does_not_lift_the_limit() {
+    fixture.server("zopf-1", 1, 50, 1_000_000).warm();
+    Permit first = fixture.askMany("premium", 1).getFirst();
+    shard.confirmed(first.id(), COLD);
+
+    shard.loadReport(fixture.name(0), report(WARM, 1));
+
+    assertThat(fixture.askMany("premium", 3), is(empty()));
+  }
+
+  @ParameterizedTest(name = "after {0} ms: limit {1}")
+  @CsvSource({"0, 2", "250, 4", "500, 8", "1000, 32"})
+  void the_limit_rises_in_steps_after_warm_up(long millis, int limit) {
+    fixture.server("zopf-1", 2, 50, 1_000_000).configured();
+    shard.loadReport(fixture.name(0), report(WARM, 0));
+    for (long passed = 0; passed < millis; passed += 250) {
+      fixture.clock.advance(250);
+      shard.loadReport(fixture.name(0), report(WARM, 0));
+    }
+
+    assertThat(shard.load().limit(), is(limit));
+  }
+
+  @ParameterizedTest(name = "taken out: {0}")
+  @CsvSource({"domain", "server"})
+  void nothing_is_granted_on_what_operators_took_out(String kind) {
+    fixture.server("zopf-1", 2, 50, 1_000_000).warm();
+    PermitRequest unconfirmed = fixture.request("premium");
+    fixture.ask(unconfirmed);
+    if (kind.equals("domain")) {
+      fixture.domainState = ServiceState.OUT;
+    } else {
+      fixture.servers.set(0, fixture.servers.getFirst().withState(ServiceState.OUT));
+    }
+    fixture.configured();
+
+    assertThat(fixture.askMany("premium", 2), is(empty()));
+    shard.request(unconfirmed);
+    assertThat(fixture.grants(), is(empty()));
+  }
+
+  @Test
+  void a_returning_domain_starts_at_the_cold_limit() {
+    fixture.server("zopf-1", 2, 50, 1_000_000).warm();
+    fixture.domainState = ServiceState.OUT;
+    fixture.configured();
+    fixture.domainState = ServiceState.IN;
+    fixture.configured();
+
+    assertThat(fillConfirming(10, false), is(2));
+  }
+
+  @Test
+  void a_repeated_request_gets_the_same_permit() {
+    fixture.server("zopf-1", 2, 50, 1_000_000).server("zopf-2", 2, 50, 1_000_000).warm();
+    PermitRequest request = fixture.request("premium");
+    List<AdmissionDecision> first = fixture.ask(request);
+
+    assertThat(fixture.ask(request), is(first));
+    assertThat(shard.load().open(), is(1));
+  }
+
+  @Test
+  void a_lower_class_runs_on_the_only_slot_of_a_cold_shard() {
+    fixture.server("zopf-1", 1, 50, 1_000_000).configured();
+
+    assertThat(fixture.askMany("batch", 2), hasSize(1));
+  }
+
+  @Test
+  void a_higher_class_is_served_first() {
+    fixture.server("zopf-1", 1, 1, 1_000_000).warm();
+    Permit running = fixture.askMany("batch", 1).getFirst();
+    PermitRequest batch = fixture.request("batch");
+    PermitRequest premium = fixture.request("premium");
+    shard.request(batch);
+    shard.request(premium);
+    shard.drain();
+
+    shard.ended(running.id(), AttemptEnd.COMPLETED, 10);
+
+    assertThat(fixture.grants().getFirst().id(), is(premium.id()));
+  }
+
+  @Test
+  void accounts_of_a_class_take_turns_by_generated_tokens() {
+    ShardFixture plain = ShardFixture.with(Mechanism.FAIR_SHARES, Mechanism.PRIORITY_ORDER);
+    plain.server("zopf-1", 1, 1, 1_000_000).warm();
+    Permit running = plain.askMany("standard", 1).getFirst();
+    plain.askMany("standard", 3);
+    PermitRequest other = plain.request("other");
+    plain.ask(other);
+
+    plain.shard.ended(running.id(), AttemptEnd.COMPLETED, 5_000);
+
+    assertThat(plain.grants().getFirst().id(), is(other.id()));
+  }
+
+  @Test
+  void a_bought_share_is_free_at_once_after_long_disuse() {
+    fixture.server("zopf-1", 10, 100, 10_000_000).warm();
+    int granted = 0;
+    for (int round = 0; round < 12; round++) {
+      List<Permit> permits = fixture.askMany("standard", 10);
+      permits.forEach(permit -> shard.confirmed(permit.id(), WARM));
+      granted += permits.size() + fixture.grants().size();
+    }
+    assertThat(granted, is(lessThan(70)));
+
+    assertThat(fixture.askMany("premium", 10), hasSize(10));
+  }
+
+  @Test
+  void expected_peak_memory_bounds_what_runs() {
+    fixture.server("zopf-1", 10, 100, 10_000).warm();
+
+    int granted = 0;
+    for (int round = 0; round < 30; round++) {
+      List<Permit> permits = fixture.askMany("premium", 1);
+      permits.forEach(permit -> shard.confirmed(permit.id(), WARM));
+      granted += permits.size();
+    }
+
+    assertThat("(100 + 256) tokens each in 8,500", granted, is(23));
+  }
+
+  @Test
+  void an_attempt_that_cannot_meet_its_deadline_is_refused_at_once() {
+    fixture.server("zopf-1", 1, 1, 1_000_000).warm();
+    Permit first = fixture.askMany("premium", 1).getFirst();
+    shard.confirmed(first.id(), WARM);
+    fixture.clock.advance(10_000);
+    shard.ended(first.id(), AttemptEnd.COMPLETED, 100);
+    fixture.askMany("premium", 5);
+
+    List<AdmissionDecision> decisions =
+        fixture.ask(fixture.request("premium", 100, 12_000, List.of(), List.of()));
+
+    AdmissionDecision.Refused refused = (AdmissionDecision.Refused) decisions.getFirst();
+    assertThat(refused.code(), is(ResultCode.OVERLOADED));
+    assertThat(refused.retryAfterMillis() > 1_000, is(true));
+  }
+
+  @Test
+  void the_line_of_an_account_is_bounded() {
+    ShardFixture plain = ShardFixture.with();
+    plain.server("zopf-1", 1, 1, 1_000_000).warm();
+    plain.askMany("standard", 257);
+
+    AdmissionDecision last = plain.ask(plain.request("standard")).getLast();
+
+    assertThat(last, is(instanceOf(AdmissionDecision.Refused.class)));
+    assertThat(plain.ask(plain.request("other")).getLast(), is(not(last)));
+  }
+
+  @Test
+  void retries_end_when_their_budget_is_used_up() {
+    fixture.server("zopf-1", 5, 100, 1_000_000).server("zopf-2", 5, 100, 1_000_000).warm();
+    int refused = 0;
+    for (int retry = 0; retry < 15; retry++) {
+      PermitRequest request =
+          fixture.request("premium", 10, 60_000, List.of(), List.of(fixture.name(0)));
+      refused += fixture.ask(request).getFirst() instanceof AdmissionDecision.Refused ? 1 : 0;
+    }
+
+    assertThat(refused, is(5));
+  }
+
+  @Test
+  void a_server_that_refuses_everything_gets_a_pause() {
+    ShardFixture plain = ShardFixture.with(Mechanism.CIRCUIT_BREAKER);
+    plain.server("zopf-1", 1, 5, 1_000_000).warm();
+    for (int failure = 0; failure < 5; failure++) {
+      Permit permit = plain.askMany("premium", 1).getFirst();
+      plain.shard.ended(permit.id(), AttemptEnd.REFUSED, 0);
+    }
+
+    assertThat(plain.askMany("premium", 2), is(empty()));
+    plain.clock.advance(500);
+    plain.shard.tick();
+    assertThat("one attempt tests the server", plain.grants(), hasSize(1));
+  }
+
+  @ParameterizedTest(name = "{0}: second request runs on server {1}")
+  @CsvSource({"dispatched, 0", "evicted, 1", "none, 1"})
+  void a_prompt_goes_where_its_prefix_probably_is(String event, int expected) {
+    fixture.server("zopf-1", 5, 100, 1_000_000).server("zopf-2", 5, 100, 1_000_000).warm();
+    List<Long> prefixes = event.equals("none") ? List.of() : List.of(11L, 12L);
+    shard.request(fixture.request("premium", 200, 60_000, prefixes, List.of()));
+    if (event.equals("evicted")) {
+      shard.cacheEvent(fixture.name(0), 1, false, 11);
+      shard.cacheEvent(fixture.name(0), 2, false, 12);
+    }
+    shard.drain();
+
+    shard.request(fixture.request("premium", 200, 60_000, prefixes, List.of()));
+
+    assertThat(fixture.grants().getFirst().server(), is(fixture.name(expected)));
+  }
+
+  @Test
+  void permits_of_a_lost_entry_daemon_count_until_reports_show_the_streams_gone() {
+    fixture.server("zopf-1", 2, 50, 1_000_000).warm();
+    fixture.askMany("premium", 2).forEach(permit -> shard.confirmed(permit.id(), WARM));
+    fixture.clock.advance(3_000);
+    shard.requesterLost(NODE, "boot-1");
+
+    shard.loadReport(fixture.name(0), report(WARM, 2));
+    shard.loadReport(fixture.name(0), report(WARM, 1));
+    assertThat(shard.load().open(), is(2));
+    shard.loadReport(fixture.name(0), report(WARM, 1));
+    assertThat(shard.load().open(), is(1));
+  }
+
+  @Test
+  void nothing_is_granted_without_a_valid_lease_or_to_a_silent_requester() {
+    fixture.server("zopf-1", 1, 1, 1_000_000).warm();
+    Permit running = fixture.askMany("premium", 1).getFirst();
+    PermitRequest silent = fixture.request("premium");
+    fixture.ask(silent);
+    fixture.clock.advance(1_001);
+    shard.ended(running.id(), AttemptEnd.COMPLETED, 1);
+    assertThat("the grant would arrive too late", fixture.grants(), is(empty()));
+
+    shard.lease(false);
+    shard.request(silent);
+    assertThat(fixture.grants(), is(empty()));
+    shard.lease(true);
+    assertThat(fixture.grants().getFirst().id(), is(silent.id()));
+  }
+}
