--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/package-info.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/package-info.java
@@ -1,4 +1,4 @@
-/** Recorded traces and their replay through the admission decision against a model of engines. */
+/** Simulated engines for trace replay and for the stand-in processes. */
 @NullMarked
 package org.cactusseam.logic.replay;
 
