--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
@@ -9,7 +9,8 @@
  *
  * @param mechanisms parts that are turned on
  * @param choice rule that picks a backend server
- * @param headroom part of engine memory that expected peaks leave free, 0 to 1
+ * @param headroom part of engine memory that expected peaks leave free, below 1; a negative value
+ *     lets expected peaks exceed the memory, because rarely all streams peak as expected
  * @param rampFactor factor by which the limit of a warming server grows in a step
  * @param rampStepMillis least time between two steps, in milliseconds
  * @param silenceMillis silence after which a server with open streams counts as cold
@@ -17,6 +18,8 @@
  * @param sameClassReservedPart the same for unused shares of the requester's own class
  * @param borrowMillis expected run time up to which an attempt may borrow reserved capacity
  * @param borrowPart part of the reserved capacity that may be borrowed, 0 to 1
+ * @param displacingRank classes up to this rank do not wait for the memory of lower classes while
+ *     their account is within its share, because the engine preempts the lower class; -1 for none
  * @param waitingMargin part of the capacity that classes that may wait leave free, 0 to 1
  * @param deadlineServicePart part of the expected run time that must fit before the deadline
  * @param affinityWeight load difference that a complete prefix match outweighs, 0 to 1
@@ -35,6 +38,7 @@
     double sameClassReservedPart,
     long borrowMillis,
     double borrowPart,
+    int displacingRank,
     double waitingMargin,
     double deadlineServicePart,
     double affinityWeight,
@@ -47,13 +51,13 @@
   /** Copies the set and checks the ranges. */
   public AdmissionSettings {
     mechanisms = Set.copyOf(mechanisms);
-    requirePart("headroom", headroom);
     requirePart("reservedPart", reservedPart);
     requirePart("sameClassReservedPart", sameClassReservedPart);
     requirePart("borrowPart", borrowPart);
     requirePart("waitingMargin", waitingMargin);
-    if (rampFactor <= 1 || accountQueueLimit < 1 || breakerFailures < 1) {
-      throw new IllegalArgumentException("ramp factor, queue limit or breaker out of range");
+    if (headroom >= 1 || rampFactor <= 1 || accountQueueLimit < 1 || breakerFailures < 1) {
+      throw new IllegalArgumentException(
+          "headroom, ramp factor, queue limit or breaker out of range");
     }
   }
 
@@ -70,7 +74,7 @@
    */
   public static AdmissionSettings zopfwerk() {
     return new AdmissionSettings(
-        EnumSet.allOf(Mechanism.class),
+        EnumSet.complementOf(EnumSet.of(Mechanism.UNLIMITED_DISPATCH)),
         ServerChoice.EXPECTED_LOAD,
         0.15,
         2.0,
@@ -80,6 +84,7 @@
         0.0,
         1_500,
         0.25,
+        0,
         0.1,
         0.5,
         0.2,
@@ -129,6 +134,7 @@
         sameClassReservedPart,
         borrowMillis,
         borrowPart,
+        displacingRank,
         waitingMargin,
         deadlineServicePart,
         affinityWeight,
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -331,9 +331,19 @@
    */
   public ShardLoad load() {
     int limit =
-        servers.values().stream().filter(ServerState::inService).mapToInt(ServerState::limit).sum();
-    double wait = rate.waitMillis(waiting.size(), open, clock.millis());
-    return new ShardLoad(waiting.size(), open, limit, (long) wait);
+        servers.values().stream()
+            .filter(ServerState::inService)
+            .mapToInt(server -> Math.min(server.limit(), server.description().warmLimit()))
+            .sum();
+    long now = clock.millis();
+    int ahead = 0;
+    List<Long> waits = new ArrayList<>();
+    for (int rank = 0; rank < WaitingRoom.RANKS; rank++) {
+      ahead += waiting.size(rank);
+      waits.add((long) rate.waitMillis(ahead, open, now));
+    }
+    double perAttempt = rate.waitMillis(1, open, now);
+    return new ShardLoad(waiting.size(), open, limit, perAttempt, waits);
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
@@ -27,6 +27,9 @@
   double charged;
   double memoryCharged;
 
+  /** Whether the account is within its purchased share, as of the last try to place it. */
+  boolean withinShare;
+
   /** Whether the requester is gone; only load reports can show that the stream ended. */
   boolean orphaned;
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Mechanism.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Mechanism.java
@@ -30,5 +30,7 @@
   /** Retries use a budget. */
   RETRY_BUDGET,
   /** A backend server that fails repeatedly gets a pause. */
-  CIRCUIT_BREAKER
+  CIRCUIT_BREAKER,
+  /** For baselines only: attempts are sent at once, and the engine keeps the queue. */
+  UNLIMITED_DISPATCH
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Reservations.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Reservations.java
@@ -43,7 +43,8 @@
     }
     Arrays.fill(unusedByRank, 0);
     for (AccountLedger ledger : purchased) {
-      unusedByRank[ledger.rank] += ledger.unusedPart(slots, memory);
+      double unused = ledger.unusedPart(slots, memory);
+      unusedByRank[ledger.rank] = Math.max(unusedByRank[ledger.rank], unused);
     }
   }
 
@@ -56,6 +57,7 @@
    * @param runMillis expected run time
    */
   boolean leavesEnough(Attempt attempt, double needed, double runMillis) {
+    attempt.withinShare = attempt.ledger.unusedPart(slots, memory) > 0;
     double reserved = reservedAgainst(attempt);
     if (reserved <= 0) {
       return true;
@@ -71,10 +73,9 @@
   private double reservedAgainst(Attempt attempt) {
     double higher = 0;
     for (int rank = 0; rank < attempt.rank; rank++) {
-      higher += unusedByRank[rank];
+      higher = Math.max(higher, unusedByRank[rank]);
     }
-    double own = attempt.ledger.unusedPart(slots, memory);
-    double sameClass = Math.max(0, unusedByRank[attempt.rank] - own);
-    return higher * settings.reservedPart() + sameClass * settings.sameClassReservedPart();
+    double sameClass = unusedByRank[attempt.rank];
+    return Math.max(higher * settings.reservedPart(), sameClass * settings.sameClassReservedPart());
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -111,7 +111,8 @@
     for (ServerState server : candidates) {
       double load = expectedLoad(attempt, server);
       double cost = load - affinity(attempt, server);
-      if (load <= 1 && cost < bestCost) {
+      boolean fits = load <= 1 || fitsByDisplacing(attempt, server);
+      if (fits && cost < bestCost) {
         best = server;
         bestCost = cost;
       }
@@ -119,6 +120,15 @@
     return best;
   }
 
+  /** Tells whether the attempt fits if the engine preempts streams of lower classes for it. */
+  private boolean fitsByDisplacing(Attempt attempt, ServerState server) {
+    if (attempt.rank > settings.displacingRank() || !settings.uses(Mechanism.PURCHASED_SHARES)) {
+      return false;
+    }
+    double peak = server.firmPeakWith(attempt.request.promptTokens(), attempt.expectedTotal());
+    return attempt.withinShare && peak <= server.memoryLimit();
+  }
+
   /** Returns the load with the attempt as a part of the capacity; over 1 if it does not fit. */
   private double expectedLoad(Attempt attempt, ServerState server) {
     double slots = (server.open() + 1.0) / server.description().warmLimit();
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
@@ -25,6 +25,7 @@
   private final AdmissionSettings settings;
   private final Ramp ramp;
   private final MemoryForecast forecast = new MemoryForecast();
+  private final MemoryForecast firmForecast = new MemoryForecast();
   private final Set<String> formerIncarnations = new HashSet<>();
   private final Orphans orphans = new Orphans();
   private BackendServer description;
@@ -161,6 +162,9 @@
   /** Returns how many attempts the server may have open now. */
   int limit() {
     int warmLimit = description.warmLimit();
+    if (settings.uses(Mechanism.UNLIMITED_DISPATCH)) {
+      return Integer.MAX_VALUE;
+    }
     if (settings.uses(Mechanism.COLD_LIMIT) && cold) {
       return description.coldLimit();
     }
@@ -186,6 +190,15 @@
     return forecast.peakWith(held, expected);
   }
 
+  /**
+   * Returns the expected peak with one more attempt, without the streams that the engine preempts
+   * for it.
+   */
+  double firmPeakWith(double held, double expected) {
+    refreshForecast();
+    return firmForecast.peakWith(held, expected);
+  }
+
   /** Returns the expected peak of engine memory, in tokens. */
   double peak() {
     return peakWith(0, 0);
@@ -210,12 +223,17 @@
       return;
     }
     forecast.clear();
+    firmForecast.clear();
     for (Attempt attempt : attempts) {
       double expected = attempt.expectedTotal();
       double held = attempt.request.promptTokens() + attempt.tokens;
       forecast.add(held, expected - attempt.tokens);
+      if (attempt.rank <= settings.displacingRank()) {
+        firmForecast.add(held, expected - attempt.tokens);
+      }
     }
     forecast.sort();
+    firmForecast.sort();
     forecastStale = false;
   }
 
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/Owner.java
@@ -0,0 +1,112 @@
+package org.cactusseam.logic.replay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.cactusseam.logic.admission.AdmissionShard;
+import org.cactusseam.logic.admission.ShardLoad;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.admission.AdmissionDecision;
+import org.cactusseam.model.admission.PermitRequestId;
+
+/** Owner of one shard in a replay: passes inputs to the shard and its decisions to requesters. */
+final class Owner {
+
+  private static final long TICK_MICROS = 50_000;
+  private static final long SUMMARY_MICROS = 500_000;
+
+  /**
+   * Wait that stands for one complete load of the servers where engines keep the queue and no wait
+   * is known; close to the run time of a request.
+   */
+  private static final double MILLIS_PER_FULL_LOAD = 1_000;
+
+  final ShardId id;
+  final String region;
+  private final EventQueue queue;
+  private final AdmissionShard shard;
+  private final List<SimulatedServer> servers = new ArrayList<>();
+  private final Map<PermitRequestId, Consumer<AdmissionDecision>> requesters = new HashMap<>();
+  private ShardLoad published = new ShardLoad(0, 0, 0, 0, List.of());
+  private int sentSincePublished;
+
+  Owner(ShardId id, EventQueue queue, PausedClock clock, ReplaySettings settings) {
+    this.id = id;
+    this.region = id.region().value();
+    this.queue = queue;
+    this.shard = new AdmissionShard(id, clock, settings.admission());
+    tick();
+    publish();
+  }
+
+  void add(SimulatedServer server) {
+    servers.add(server);
+  }
+
+  SimulatedServer server(String name) {
+    return servers.stream()
+        .filter(server -> server.description.name().value().equals(name))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Notes that a requester sends one attempt here, which the published load does not show yet. */
+  void sent() {
+    sentSincePublished++;
+  }
+
+  /** Tells whether servers were in service when the load was published. */
+  boolean usable() {
+    return published.limit() > 0;
+  }
+
+  /** Returns the wait that requesters expect from the published load, in milliseconds. */
+  double expectedWait(int rank) {
+    if (published.open() > published.limit()) {
+      double open = published.open() + sentSincePublished;
+      return open / published.limit() * MILLIS_PER_FULL_LOAD;
+    }
+    double wait = published.waitMillisByRank().get(rank);
+    return wait == 0 ? 0 : wait + sentSincePublished * published.millisPerAttempt();
+  }
+
+  void configure(Configuration configuration, long epoch) {
+    tell(
+        target ->
+            target.configure(
+                servers.stream().map(server -> server.description).toList(), configuration, epoch));
+  }
+
+  /** Connects the requester that gets the decisions on an attempt. */
+  void connect(PermitRequestId attempt, Consumer<AdmissionDecision> requester) {
+    requesters.put(attempt, requester);
+  }
+
+  void disconnect(PermitRequestId attempt) {
+    requesters.remove(attempt);
+  }
+
+  void tell(Consumer<AdmissionShard> input) {
+    input.accept(shard);
+    for (AdmissionDecision decision : shard.drain()) {
+      Consumer<AdmissionDecision> requester = requesters.get(decision.id());
+      if (requester != null) {
+        requester.accept(decision);
+      }
+    }
+  }
+
+  private void tick() {
+    tell(AdmissionShard::tick);
+    queue.after(TICK_MICROS, this::tick);
+  }
+
+  private void publish() {
+    published = shard.load();
+    sentSincePublished = 0;
+    queue.after(SUMMARY_MICROS, this::publish);
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayNetwork.java
@@ -0,0 +1,84 @@
+package org.cactusseam.logic.replay;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Latencies, owners and meters that the requests of a replay share. */
+final class ReplayNetwork {
+
+  /**
+   * Additional wait from which a request leaves its region. Shorter waits do not pay for the
+   * latency and the billed volume between regions.
+   */
+  private static final double SPILL_MILLIS = 1_000;
+
+  /** The wait elsewhere must be shorter by this factor, because the published waits lag. */
+  private static final double SPILL_FACTOR = 2;
+
+  private static final int LOWEST_RANK = 9;
+
+  private final EventQueue queue;
+  private final MeterBoard board;
+  private final Deployment deployment;
+  private final List<Owner> owners;
+  private final Map<String, Integer> ranks;
+
+  ReplayNetwork(
+      EventQueue queue,
+      MeterBoard board,
+      Deployment deployment,
+      List<Owner> owners,
+      Map<String, Integer> ranks) {
+    this.queue = queue;
+    this.board = board;
+    this.deployment = deployment;
+    this.owners = owners;
+    this.ranks = ranks;
+  }
+
+  EventQueue queue() {
+    return queue;
+  }
+
+  MeterBoard board() {
+    return board;
+  }
+
+  int rank(String priorityClass) {
+    return ranks.getOrDefault(priorityClass, LOWEST_RANK);
+  }
+
+  long delay(String from, String to) {
+    return from.equals(to) ? deployment.domainLatencyMicros() : Deployment.REGION_LATENCY_MICROS;
+  }
+
+  /**
+   * Chooses the shard to ask: the local one unless the wait at another is clearly shorter.
+   *
+   * @param region region of the entry daemon
+   * @param rank rank of the request
+   * @param refusedBy regions whose shard refused the request
+   * @return owner, or null if all refused
+   */
+  @Nullable Owner choose(String region, int rank, Set<String> refusedBy) {
+    Owner best = null;
+    double bestWait = Double.POSITIVE_INFINITY;
+    for (Owner owner : owners) {
+      if (refusedBy.contains(owner.region)) {
+        continue;
+      }
+      double wait = owner.usable() ? owner.expectedWait(rank) : Double.MAX_VALUE;
+      double cost = owner.region.equals(region) ? wait : wait * SPILL_FACTOR + SPILL_MILLIS;
+      if (cost < bestWait) {
+        best = owner;
+        bestWait = cost;
+      }
+    }
+    if (best != null) {
+      best.sent();
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayRunner.java
@@ -0,0 +1,216 @@
+package org.cactusseam.logic.replay;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cactusseam.model.AccountName;
+import org.cactusseam.model.BackendKind;
+import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.ClientAccount;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.ConfigurationObject;
+import org.cactusseam.model.FailureDomain;
+import org.cactusseam.model.FailureDomainName;
+import org.cactusseam.model.PoolName;
+import org.cactusseam.model.PriorityClass;
+import org.cactusseam.model.PriorityClassName;
+import org.cactusseam.model.RegionName;
+import org.cactusseam.model.ServiceState;
+import org.cactusseam.model.ShardId;
+
+/**
+ * Plays a trace through {@link org.cactusseam.logic.admission.AdmissionShard} against {@link
+ * EngineModel} on a paused clock, with one shard for each region.
+ *
+ * <p>This replays decisions and is not a simulation of a cluster. It leaves out: entry daemons as
+ * processes and their failures, changes of shard owners, the log and the delay of configuration
+ * changes, lost and reordered messages, the bandwidth of links, processor time, callers that come
+ * back after a refusal or leave early, resumes after broken streams, plain services, and the claims
+ * of requests that must not be repeated.
+ */
+public final class ReplayRunner {
+
+  private static final long AFTER_END_MILLIS = 130_000;
+
+  /** Time in which engines finish their first cold start before the trace begins. */
+  private static final long WARM_UP_MICROS = 20_000_000;
+
+  private static final Map<String, Integer> RANKS =
+      ImmutableMap.of("premium", 0, "watched", 1, "waiting", 2);
+
+  private final ReplaySettings settings;
+  private final PausedClock clock = new PausedClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final Map<String, Owner> owners = new LinkedHashMap<>();
+  private final Map<String, SimulatedServer> servers = new LinkedHashMap<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private long revision = 1;
+
+  private ReplayRunner(ReplaySettings settings) {
+    this.settings = settings;
+  }
+
+  /**
+   * Plays a trace. The same trace and settings give the same result.
+   *
+   * @param trace lines ordered by time
+   * @param settings settings
+   * @return figures
+   */
+  public static ReplayReport run(List<TraceLine> trace, ReplaySettings settings) {
+    return new ReplayRunner(settings).play(trace);
+  }
+
+  private ReplayReport play(List<TraceLine> trace) {
+    Deployment deployment = settings.deployment();
+    createAccounts(deployment);
+    deployment.domains().forEach(domain -> createDomain(domain, trace));
+    configure();
+    queue.runUntil(WARM_UP_MICROS);
+    MeterBoard board = new MeterBoard(outMillis(trace), inMillis(trace));
+    ReplayNetwork network =
+        new ReplayNetwork(queue, board, deployment, List.copyOf(owners.values()), RANKS);
+    long number = 0;
+    long end = 0;
+    for (TraceLine line : trace) {
+      schedule(line, network, number++);
+      end = Math.max(end, line.atMillis());
+    }
+    queue.runUntil(WARM_UP_MICROS + (end + AFTER_END_MILLIS) * 1_000);
+    long violations =
+        servers.values().stream().mapToLong(each -> each.engine.coldViolations()).sum();
+    long crashes = servers.values().stream().mapToLong(SimulatedServer::crashes).sum();
+    return new ReplayReport(violations, crashes, board.rows());
+  }
+
+  private void createAccounts(Deployment deployment) {
+    RANKS.forEach(
+        (name, rank) ->
+            put(new PriorityClass(new PriorityClassName(name), rank, name.equals("waiting"))));
+    for (AccountProfile account : deployment.accounts()) {
+      put(
+          new ClientAccount(
+              new AccountName(account.name()),
+              new PriorityClassName(account.priorityClass()),
+              account.share(),
+              List.of()));
+    }
+  }
+
+  private void put(ConfigurationObject object) {
+    configuration = configuration.with(object, revision++);
+  }
+
+  private void createDomain(Deployment.Domain domain, List<TraceLine> trace) {
+    boolean out =
+        settings.domainStaysOut()
+            && trace.stream()
+                .anyMatch(
+                    line ->
+                        line instanceof TraceLine.DomainOut order
+                            && order.domain().equals(domain.name()));
+    setState(domain, out ? ServiceState.OUT : ServiceState.IN);
+    Deployment deployment = settings.deployment();
+    RegionName region = new RegionName(domain.region());
+    Owner owner =
+        owners.computeIfAbsent(
+            domain.region(),
+            name ->
+                new Owner(
+                    new ShardId(new PoolName(deployment.pool()), region, 0),
+                    queue,
+                    clock,
+                    settings));
+    for (int index = 0; index < domain.servers(); index++) {
+      BackendServer server = server(domain, domain.server(index));
+      long seed = settings.seed() * 1_000 + servers.size();
+      servers.put(
+          server.name().value(),
+          new SimulatedServer(server, domain.region(), queue, settings, owner, seed));
+    }
+  }
+
+  private BackendServer server(Deployment.Domain domain, String name) {
+    Deployment deployment = settings.deployment();
+    return new BackendServer(
+        new BackendServerName(name),
+        new PoolName(deployment.pool()),
+        new FailureDomainName(domain.name()),
+        BackendKind.ENGINE,
+        "127.0.0.1",
+        1,
+        true,
+        deployment.engine().coldStart().limit(),
+        deployment.warmLimit(),
+        deployment.engine().memoryTokens(),
+        ServiceState.IN);
+  }
+
+  private void setState(Deployment.Domain domain, ServiceState state) {
+    put(
+        new FailureDomain(
+            new FailureDomainName(domain.name()), new RegionName(domain.region()), state));
+  }
+
+  private void configure() {
+    owners.values().forEach(owner -> owner.configure(configuration, revision));
+  }
+
+  private void schedule(TraceLine line, ReplayNetwork network, long number) {
+    long at = WARM_UP_MICROS + line.atMillis() * 1_000;
+    switch (line) {
+      case TraceLine.Request request -> {
+        RequestRun run = new RequestRun(network, request, number, at);
+        queue.at(at + Deployment.CLIENT_LATENCY_MICROS, run::start);
+      }
+      case TraceLine.DomainOut order ->
+          queue.at(at, () -> change(order.domain(), ServiceState.OUT));
+      case TraceLine.DomainIn order -> queue.at(at, () -> change(order.domain(), ServiceState.IN));
+      case TraceLine.ServerCold fault -> queue.at(at, () -> turnCold(fault.server()));
+    }
+  }
+
+  private void change(String name, ServiceState state) {
+    if (settings.domainStaysOut()) {
+      return;
+    }
+    Deployment.Domain domain =
+        settings.deployment().domains().stream()
+            .filter(each -> each.name().equals(name))
+            .findFirst()
+            .orElseThrow();
+    if (state == ServiceState.IN) {
+      for (int index = 0; index < domain.servers(); index++) {
+        turnCold(domain.server(index));
+      }
+    }
+    setState(domain, state);
+    configure();
+  }
+
+  private void turnCold(String server) {
+    SimulatedServer target = servers.get(server);
+    if (target == null) {
+      throw new IllegalArgumentException("the deployment has no server " + server);
+    }
+    target.turnCold();
+  }
+
+  private static long outMillis(List<TraceLine> trace) {
+    return trace.stream()
+        .filter(TraceLine.DomainOut.class::isInstance)
+        .mapToLong(TraceLine::atMillis)
+        .findFirst()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  private static long inMillis(List<TraceLine> trace) {
+    return trace.stream()
+        .filter(TraceLine.DomainIn.class::isInstance)
+        .mapToLong(TraceLine::atMillis)
+        .findFirst()
+        .orElse(Long.MAX_VALUE);
+  }
+}
