--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AccountLedger.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AccountLedger.java
@@ -13,6 +13,7 @@
   private double virtualTokens;
   private int open;
   private double memory;
+  private double held;
 
   /**
    * Sets the purchased share.
@@ -43,6 +44,11 @@
     virtualTokens += tokens / (share > 0 ? share : WEIGHT_WITHOUT_SHARE);
   }
 
+  /** Notes that engine memory held now grew, or shrank if negative. */
+  void holds(double tokens) {
+    held += tokens;
+  }
+
   void opened(double memoryTokens) {
     open++;
     memory += memoryTokens;
@@ -59,6 +65,14 @@
     return Math.max(0, sharePart - used);
   }
 
+  /**
+   * Tells whether what the account holds now is less than its share. Expected lengths do not count
+   * here: those of an account that was idle for long are guessed from others.
+   */
+  boolean holdsLessThanShare(double slots, double memoryTokens) {
+    return Math.max(part(open, slots), part(held, memoryTokens)) < sharePart;
+  }
+
   private static double part(double value, double whole) {
     return whole <= 0 ? 0 : value / whole;
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
@@ -49,6 +49,7 @@
     int breakerFailures) {
 
   private static final long SILENCE_MILLIS = 500;
+  private static final long RAMP_STEP_MILLIS = 250;
 
   /** Copies the set and checks the ranges. */
   public AdmissionSettings {
@@ -75,19 +76,33 @@
    * @return settings
    */
   public static AdmissionSettings zopfwerk() {
+    return preset(-0.05, 0.1);
+  }
+
+  /**
+   * Returns the preset of deployment flagline, which weighs the tail between tokens and service
+   * during changes of failure domains most.
+   *
+   * @return settings
+   */
+  public static AdmissionSettings flagline() {
+    return preset(0, 0.15);
+  }
+
+  private static AdmissionSettings preset(double headroom, double waitingMargin) {
     return new AdmissionSettings(
         EnumSet.complementOf(EnumSet.of(Mechanism.UNLIMITED_DISPATCH)),
         ServerChoice.EXPECTED_LOAD,
-        -0.05,
+        headroom,
         2.0,
-        250,
+        RAMP_STEP_MILLIS,
         SILENCE_MILLIS,
         0.2,
         0.0,
         1_500,
         0.25,
         0,
-        0.1,
+        waitingMargin,
         0.5,
         0.2,
         0.3,
@@ -96,16 +111,6 @@
         5);
   }
 
-  /**
-   * Returns the preset of deployment flagline, which weighs the tail between tokens and service
-   * during changes of failure domains most.
-   *
-   * @return settings
-   */
-  public static AdmissionSettings flagline() {
-    return zopfwerk();
-  }
-
   /**
    * Returns a baseline: a common load balancer with a first-in-first-out queue and a limit of
    * connections for each backend server, without estimates.
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -502,6 +502,7 @@
     attempt.charged = attempt.expectedTotal();
     attempt.ledger.charge(attempt.charged);
     attempt.ledger.opened(attempt.request.promptTokens() + attempt.charged);
+    attempt.ledger.holds(attempt.request.promptTokens());
     attempt.memoryCharged = attempt.request.promptTokens() + attempt.charged;
     server.open(attempt, attempt.grantedAt);
     open++;
@@ -516,6 +517,7 @@
     if (attempt.tokens > 0) {
       rate.generated(tokens - attempt.tokens, now - attempt.progressAt);
     }
+    attempt.ledger.holds(tokens - attempt.tokens);
     attempt.tokens = tokens;
     attempt.progressAt = now;
     if (tokens > attempt.charged) {
@@ -541,6 +543,7 @@
     attempts.remove(attempt.request.id());
     attempt.ledger.charge(attempt.tokens - attempt.charged);
     attempt.ledger.closed(attempt.memoryCharged);
+    attempt.ledger.holds(-attempt.request.promptTokens() - attempt.tokens);
     ServerState server = attempt.server;
     if (server != null) {
       server.close(attempt);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Reservations.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Reservations.java
@@ -57,7 +57,7 @@
    * @param runMillis expected run time
    */
   boolean leavesEnough(Attempt attempt, double needed, double runMillis) {
-    attempt.withinShare = attempt.ledger.unusedPart(slots, memory) > 0;
+    attempt.withinShare = attempt.ledger.holdsLessThanShare(slots, memory);
     double reserved = reservedAgainst(attempt);
     if (attempt.mayWait && settings.uses(Mechanism.WAITING_YIELDS)) {
       reserved += settings.waitingMargin();
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -128,7 +128,7 @@
     if (attempt.rank > settings.displacingRank() || !settings.uses(Mechanism.PURCHASED_SHARES)) {
       return false;
     }
-    double peak = server.firmPeakWith(attempt.request.promptTokens(), attempt.expectedTotal());
+    double peak = server.firmPeakWith(attempt.request.promptTokens(), 0);
     return attempt.withinShare && peak <= server.memoryLimit();
   }
 
