Add claims for requests that must not run twice

Cause: requests on routes that are not repeatable need a decision on who may run a key, with a log that loses answers, applies appends late and has outages.

Change: ClaimCoordinator appends a claim, reads it back and gives the right to send only to the first claim of a key that is not released. New result code IDEMPOTENCY_KEY_REUSED (2009) for a key with another body.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/ResultCode.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/ResultCode.java
@@ -25,6 +25,8 @@
   UNKNOWN_GENERATION(2007, 404, Execution.MAY_HAVE_RUN),
   /** The caller did not read the answer for too long; it can resume. */
   SLOW_READER(2008, 408, Execution.MAY_HAVE_RUN),
+  /** An earlier request used the same idempotency key with another body or route. */
+  IDEMPOTENCY_KEY_REUSED(2009, 422, Execution.NOT_RUN),
   /** No backend server can take the request before its deadline. */
   OVERLOADED(3001, 429, Execution.NOT_RUN),
   /** No backend server of the route is in service. */
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/claim/ClaimKey.java
@@ -0,0 +1,55 @@
+package org.cactusseam.model.claim;
+
+import java.time.Instant;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.UUID;
+import org.cactusseam.model.AccountName;
+
+/**
+ * Idempotency key of a request, unique within its client account. The key is a UUID of version 7
+ * (RFC 9562): its time tells whether the log still retains every earlier claim of the same key.
+ *
+ * @param account client account
+ * @param key UUID of version 7
+ */
+public record ClaimKey(AccountName account, UUID key) {
+
+  private static final int VERSION = 7;
+  private static final int RFC_9562_VARIANT = 2;
+  private static final int BITS_BELOW_TIME = 16;
+
+  /** Checks version and variant, because the time of other UUIDs has no meaning here. */
+  public ClaimKey {
+    if (key.version() != VERSION || key.variant() != RFC_9562_VARIANT) {
+      throw new IllegalArgumentException("idempotency key is not a UUID of version 7: " + key);
+    }
+  }
+
+  /**
+   * Reads a key from a header value.
+   *
+   * @param account client account
+   * @param text text from a caller
+   * @return the key, or empty if the text is not a UUID of version 7
+   */
+  public static Optional<ClaimKey> parse(AccountName account, String text) {
+    try {
+      UUID key = UUID.fromString(text);
+      // UUID.fromString also takes short groups such as 1-1-7001-8001-1, which are not UUIDs.
+      boolean canonical = key.toString().equals(text.toLowerCase(Locale.ROOT));
+      return canonical ? Optional.of(new ClaimKey(account, key)) : Optional.empty();
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * Returns the time that the caller put into the key.
+   *
+   * @return time, in whole milliseconds
+   */
+  public Instant time() {
+    return Instant.ofEpochMilli(key.getMostSignificantBits() >>> BITS_BELOW_TIME);
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/claim/package-info.java
@@ -0,0 +1,5 @@
+/** Records of the stream {@code claims} and the values that nodes exchange about claims. */
+@NullMarked
+package org.cactusseam.model.claim;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/idempotency/ClaimFleet.java
@@ -0,0 +1,307 @@
+package org.cactusseam.logic.idempotency;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.UUID;
+import org.cactusseam.model.AccountName;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.ResultCode;
+import org.cactusseam.model.claim.ClaimAnswer;
+import org.cactusseam.model.claim.ClaimEntry;
+import org.cactusseam.model.claim.ClaimId;
+import org.cactusseam.model.claim.StoredAnswer;
+import org.cactusseam.testing.PausedClock;
+
+/** Several coordinators on one clock and one log, with the faults of a case. */
+final class ClaimFleet {
+
+  static final Duration RETENTION = Duration.ofMinutes(40);
+  private static final Duration STEP = Duration.ofMillis(10);
+  private static final AccountName ACCOUNT = new AccountName("shop");
+
+  private record Event(Instant at, String boot, Runnable effect) {}
+
+  private final class Node {
+    final NodeName name;
+    final Duration skew;
+    ClaimCoordinator coordinator;
+    String boot;
+    int boots;
+    Instant pausedUntil = Instant.MIN;
+    Instant deadUntil = Instant.MIN;
+    Instant nextRead = Instant.MIN;
+    final List<Event> events = new ArrayList<>();
+
+    Node(int index) {
+      name = new NodeName("vm" + index);
+      boolean skewed = faults.contains(Fault.CLOCK_SKEW);
+      skew = skewed ? Duration.ofSeconds(random.nextInt(200) - 100) : Duration.ZERO;
+      start();
+    }
+
+    void start() {
+      boot = "boot" + ++boots;
+      Clock local = Clock.offset(clock, skew);
+      ClaimSettings settings = ClaimSettings.of(RETENTION);
+      coordinator = new ClaimCoordinator(name, name + boot, settings, local);
+      events.clear();
+    }
+
+    boolean isDead() {
+      return clock.instant().isBefore(deadUntil);
+    }
+
+    boolean isPaused() {
+      return clock.instant().isBefore(pausedUntil);
+    }
+
+    void kill() {
+      kills++;
+      start();
+      deadUntil = clock.instant().plusMillis(200 + random.nextInt(600));
+      pausedUntil = Instant.MIN;
+    }
+
+    void pause() {
+      pauses++;
+      pausedUntil = clock.instant().plusMillis(200 + random.nextInt(3000));
+    }
+
+    void after(int millis, Runnable effect) {
+      events.add(new Event(clock.instant().plusMillis(millis), boot, effect));
+    }
+  }
+
+  final PausedClock clock = new PausedClock(Instant.parse("2026-03-01T10:00:00Z"));
+  final Set<Fault> faults;
+  final Random random;
+  final ScriptedLog log;
+  final List<Node> nodes = new ArrayList<>();
+  final Map<String, UUID> keys = new HashMap<>();
+  final Map<UUID, Integer> executions = new HashMap<>();
+  final Map<ClaimId, ResultCode> refused = new HashMap<>();
+  final Map<ClaimId, StoredAnswer> answered = new HashMap<>();
+  final Set<ClaimId> begun = new HashSet<>();
+  final Set<ClaimId> open = new HashSet<>();
+  final List<String> violations = new ArrayList<>();
+  private final Map<ClaimId, UUID> keyOf = new HashMap<>();
+  private final Map<ClaimId, Instant> rights = new HashMap<>();
+  private final Set<Fault> spent = new HashSet<>();
+  int kills;
+  int pauses;
+
+  ClaimFleet(Set<Fault> faults, long seed, int size) {
+    this.faults = new HashSet<>(faults);
+    this.random = new Random(seed);
+    this.log = new ScriptedLog(random, this.faults);
+    for (int index = 0; index < size; index++) {
+      nodes.add(new Node(index));
+    }
+  }
+
+  /** Makes a key of the current time. */
+  UUID newKey() {
+    long time = clock.millis() << 16;
+    return new UUID(time | 0x7000 | random.nextInt(0x1000), random.nextLong() >>> 2 | 1L << 63);
+  }
+
+  Optional<ClaimId> send(int nodeIndex, UUID key, String body) {
+    Node node = nodes.get(nodeIndex);
+    if (node.isDead() || node.isPaused()) {
+      return Optional.empty();
+    }
+    Instant deadline = clock.instant().plus(node.skew).plusSeconds(2);
+    ClaimId id = node.coordinator.arrive(ACCOUNT, key.toString(), body, deadline);
+    keyOf.put(id, key);
+    open.add(id);
+    perform(node);
+    return Optional.of(id);
+  }
+
+  void run(Duration duration) {
+    Instant end = clock.instant().plus(duration);
+    while (clock.instant().isBefore(end)) {
+      step();
+    }
+  }
+
+  private void step() {
+    clock.advance(STEP);
+    log.advance(clock.instant(), RETENTION);
+    for (Node node : nodes) {
+      if (!node.isDead() && !node.isPaused()) {
+        step(node);
+      }
+    }
+  }
+
+  private void step(Node node) {
+    Instant now = clock.instant();
+    List<Event> due = node.events.stream().filter(event -> !event.at.isAfter(now)).toList();
+    node.events.removeAll(due);
+    for (Event event : due) {
+      if (event.boot.equals(node.boot) && !node.isDead()) {
+        event.effect.run();
+        perform(node);
+      }
+    }
+    if (!now.isBefore(node.nextRead)) {
+      node.nextRead = now.plusMillis(10 + random.nextInt(60));
+      if (log.up) {
+        log.readInto(node.coordinator);
+      } else {
+        node.coordinator.logUnavailable();
+      }
+    }
+    node.coordinator.tick();
+    perform(node);
+  }
+
+  private void perform(Node node) {
+    String boot = node.boot;
+    for (ClaimAction action : node.coordinator.drain()) {
+      if (!boot.equals(node.boot)) {
+        return;
+      }
+      perform(node, action);
+    }
+  }
+
+  private void perform(Node node, ClaimAction action) {
+    switch (action) {
+      case ClaimAction.Append append -> append(node, append);
+      case ClaimAction.Dispatch dispatch -> dispatch(node, dispatch);
+      case ClaimAction.Refuse refuse -> refuse(refuse.id(), refuse.refusal().code());
+      case ClaimAction.Answer answer -> answer(answer.id(), answer.answer());
+      case ClaimAction.Ask ask -> ask(node, ask);
+    }
+  }
+
+  private void append(Node node, ClaimAction.Append append) {
+    ScriptedLog.Response response = log.append(append.record(), clock.instant());
+    ClaimCoordinator coordinator = node.coordinator;
+    switch (response) {
+      case SUCCESS -> node.after(10, () -> coordinator.appendSucceeded(append.batch()));
+      case ERROR -> node.after(10, () -> coordinator.appendFailed(append.batch()));
+      default -> node.after(300, () -> coordinator.appendTimedOut(append.batch()));
+    }
+    boolean claims =
+        append.record().entries().stream().anyMatch(ClaimEntry.Claimed.class::isInstance);
+    if (claims && strikes(Fault.KILL_AFTER_APPEND)) {
+      node.kill();
+    } else if (claims && strikes(Fault.PAUSE_AFTER_APPEND)) {
+      node.pause();
+    }
+  }
+
+  /** A fault of this kind happens once in a case. */
+  private boolean strikes(Fault fault) {
+    return faults.contains(fault) && random.nextInt(2) == 0 && spent.add(fault);
+  }
+
+  private void dispatch(Node node, ClaimAction.Dispatch dispatch) {
+    ClaimId id = dispatch.id();
+    rights.put(id, dispatch.until().minus(node.skew));
+    if (strikes(Fault.KILL_BEFORE_DISPATCH)) {
+      node.kill();
+      return;
+    }
+    if (strikes(Fault.PAUSE_BEFORE_DISPATCH)) {
+      node.pause();
+    }
+    node.after(random.nextInt(40), () -> begin(node, id));
+  }
+
+  private void begin(Node node, ClaimId id) {
+    if (!node.coordinator.begin(id)) {
+      return;
+    }
+    check(clock.instant().isBefore(rights.get(id)), "sent after the end of its right: " + id);
+    check(!refused.containsKey(id), "sent after a refusal: " + id);
+    check(begun.add(id), "sent twice: " + id);
+    if (faults.contains(Fault.SERVER_REFUSES) && random.nextInt(2) == 0) {
+      node.after(20, () -> serverRefused(node, id));
+      return;
+    }
+    UUID key = keyOf.get(id);
+    check(executions.merge(key, 1, Integer::sum) == 1, "executed twice: " + key);
+    if (strikes(Fault.KILL_WHILE_RUNNING)) {
+      node.kill();
+    } else {
+      node.after(20 + random.nextInt(300), () -> end(node, id));
+    }
+  }
+
+  private void serverRefused(Node node, ClaimId id) {
+    open.remove(id);
+    refused.put(id, ResultCode.BACKEND_UNAVAILABLE);
+    node.coordinator.notRun(id);
+  }
+
+  private void end(Node node, ClaimId id) {
+    open.remove(id);
+    if (faults.contains(Fault.SERVER_BREAKS) && random.nextInt(2) == 0) {
+      node.coordinator.outcomeUnknown(id);
+      return;
+    }
+    byte[] body = keyOf.get(id).toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    node.coordinator.ran(id, Optional.of(new StoredAnswer(200, "text/plain", body)));
+  }
+
+  private void refuse(ClaimId id, ResultCode code) {
+    check(open.remove(id), "a second answer: " + id);
+    check(!begun.contains(id) || refused.containsKey(id), "refused although sent: " + id);
+    refused.put(id, code);
+    boolean ran = executions.containsKey(keyOf.get(id));
+    check(code != ResultCode.ALREADY_RAN || ran, "already run is false: " + id);
+  }
+
+  private void answer(ClaimId id, StoredAnswer answer) {
+    check(open.remove(id), "a second answer: " + id);
+    String body = new String(answer.body(), java.nio.charset.StandardCharsets.UTF_8);
+    check(body.equals(keyOf.get(id).toString()), "the answer of another key: " + id);
+    answered.put(id, answer);
+  }
+
+  private void ask(Node node, ClaimAction.Ask ask) {
+    Node other = nodes.stream().filter(any -> any.name.equals(ask.node())).findAny().orElseThrow();
+    node.after(10, () -> deliver(node, other, ask));
+  }
+
+  private void deliver(Node node, Node other, ClaimAction.Ask ask) {
+    if (other.isDead()) {
+      node.coordinator.unreachable(ask.id(), ask.claim());
+    } else if (!other.isPaused() && !faults.contains(Fault.PEER_SILENT)) {
+      ClaimAnswer answer = other.coordinator.answer(ask.key(), ask.claim());
+      node.coordinator.answered(ask.id(), ask.claim(), answer);
+    }
+  }
+
+  private void check(boolean holds, String violation) {
+    if (!holds) {
+      violations.add(violation);
+    }
+  }
+
+  /** Ends all faults and lets every node come back. */
+  void heal() {
+    faults.clear();
+    log.up = true;
+    run(Duration.ofSeconds(6));
+  }
+
+  /** Attempts without an answer at runs that did not end. */
+  List<ClaimId> unanswered() {
+    List<String> alive = nodes.stream().map(node -> node.name + node.boot).toList();
+    return open.stream().filter(id -> alive.contains(id.boot())).toList();
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/idempotency/Fault.java
@@ -0,0 +1,24 @@
+package org.cactusseam.logic.idempotency;
+
+/** Faults that the cases combine in pairs. */
+enum Fault {
+  NONE,
+  LOST_ANSWER,
+  LOST_REQUEST,
+  LATE_APPEND,
+  APPEND_ERROR,
+  REPEATED_APPEND,
+  OUTAGE,
+  RETENTION,
+  KILL_AFTER_APPEND,
+  KILL_BEFORE_DISPATCH,
+  KILL_WHILE_RUNNING,
+  PAUSE_AFTER_APPEND,
+  PAUSE_BEFORE_DISPATCH,
+  SAME_KEY_AT_TWO_NODES,
+  OTHER_BODY,
+  SERVER_REFUSES,
+  SERVER_BREAKS,
+  PEER_SILENT,
+  CLOCK_SKEW
+}
