Complete the control state machine

Change: command identities are kept for the retention, tombstones and the boots of ended runs for two. A change of a removed object must expect the offset of the removal, so a late copy of the creation cannot bring it back. References are checked. A backend server keeps the shard that it got first. Shard owners and epochs are part of the state; only changed candidates are compared. An expulsion states a reason: an unreachable run is suspended, a run whose end is proven is removed.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
@@ -1,112 +1,296 @@
 package org.cactusseam.logic.control;
 
-import java.util.HashMap;
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.ObjectKind;
+import org.cactusseam.model.RegionName;
+import org.cactusseam.model.ShardId;
 import org.cactusseam.model.control.ControlRecord;
+import org.cactusseam.model.control.ExpelReason;
+import org.cactusseam.model.control.Member;
+import org.cactusseam.model.control.MemberStanding;
+import org.cactusseam.model.control.RunId;
+import org.cactusseam.model.control.SnapshotEntry;
 
 /**
  * State machine over the control log. It is deterministic: nodes that applied the same records hold
  * the same configuration and membership, which lets the log arbitrate between operators without a
- * leader.
+ * leader. The only time that it knows is the one that the log states for each record.
  *
  * <p>Not thread-safe; owned by the control thread.
  */
 public final class ControlState {
 
-  private final Map<String, Verdict> commands = new HashMap<>();
+  /** Retention that is assumed if none is given. All nodes of a deployment must use the same. */
+  public static final Duration DEFAULT_RETENTION = Duration.ofDays(7);
+
+  /**
+   * A remembered command.
+   *
+   * @param offset offset of its record
+   * @param recordedAtMillis time of the record, as the log states it
+   * @param verdict decision
+   */
+  record Command(long offset, long recordedAtMillis, Verdict verdict) {}
+
+  /**
+   * The newest ended run of a node.
+   *
+   * @param boot identity of the run
+   * @param endedAtMillis time of the record that ended it, as the log states it
+   */
+  record Ended(String boot, long endedAtMillis) {}
+
+  private final long retentionMillis;
+  private final Map<String, Command> commands = new LinkedHashMap<>();
+  private final Map<ObjectKey, Long> tombstones = new LinkedHashMap<>();
+  private final Map<NodeName, Ended> ended = new LinkedHashMap<>();
   private Configuration configuration = Configuration.EMPTY;
   private Membership membership = Membership.EMPTY;
+  private ShardOwners owners = ShardOwners.EMPTY;
   private long nextOffset;
+  private long logTimeMillis;
+
+  /** Creates an empty state with the {@link #DEFAULT_RETENTION}. */
+  public ControlState() {
+    this(DEFAULT_RETENTION);
+  }
 
   /**
-   * Applies the record at an offset.
+   * Creates an empty state.
+   *
+   * @param retention time for which the log keeps records
+   */
+  public ControlState(Duration retention) {
+    retentionMillis = retention.toMillis();
+  }
+
+  /**
+   * Applies the record at an offset, at the time of the record before it.
    *
    * @param offset log offset, not below {@link #nextOffset()}
    * @param record record
    * @return what was decided
    */
   public Verdict apply(long offset, ControlRecord record) {
+    return apply(offset, logTimeMillis, record);
+  }
+
+  /**
+   * Applies the record at an offset.
+   *
+   * @param offset log offset; records below {@link #nextOffset()} are duplicates
+   * @param appendedAtMillis time of the record, as the log states it
+   * @param record record
+   * @return what was decided
+   */
+  public Verdict apply(long offset, long appendedAtMillis, ControlRecord record) {
     if (offset < nextOffset) {
       return Verdict.DUPLICATE;
     }
     nextOffset = offset + 1;
+    logTimeMillis = Math.max(logTimeMillis, appendedAtMillis);
+    expire();
     return switch (record) {
       case ControlRecord.Change change -> applyChange(offset, change);
       case ControlRecord.Join join -> applyJoin(offset, join);
-      case ControlRecord.Activate activate -> applyActivate(activate);
-      case ControlRecord.Leave leave -> applyRemoval(leave.node(), leave.boot());
-      case ControlRecord.Expel expel -> applyRemoval(expel.node(), expel.boot());
+      case ControlRecord.Activate activate -> applyActivate(offset, activate);
+      case ControlRecord.Leave leave -> applyLeave(offset, leave);
+      case ControlRecord.Expel expel -> applyExpel(offset, expel);
+      case ControlRecord.Snapshot snapshot -> Verdict.ACCEPTED;
     };
   }
 
+  /** Entries are in the order of their times, so the expired ones come first. */
+  private void expire() {
+    long commandLimit = logTimeMillis - retentionMillis;
+    Iterator<Command> command = commands.values().iterator();
+    while (command.hasNext() && command.next().recordedAtMillis < commandLimit) {
+      command.remove();
+    }
+    long tombstoneLimit = logTimeMillis - 2 * retentionMillis;
+    Iterator<Map.Entry<ObjectKey, Long>> tombstone = tombstones.entrySet().iterator();
+    while (tombstone.hasNext()) {
+      Map.Entry<ObjectKey, Long> next = tombstone.next();
+      if (next.getValue() >= tombstoneLimit) {
+        break;
+      }
+      configuration = configuration.forget(next.getKey());
+      tombstone.remove();
+    }
+    Iterator<Ended> run = ended.values().iterator();
+    while (run.hasNext() && run.next().endedAtMillis < tombstoneLimit) {
+      run.remove();
+    }
+  }
+
   private Verdict applyChange(long offset, ControlRecord.Change change) {
     if (commands.containsKey(change.commandId())) {
       return Verdict.DUPLICATE;
     }
-    Verdict verdict = judge(change);
-    commands.put(change.commandId(), verdict);
+    Verdict verdict =
+        expectedRevision(change.key()) == change.expectedRevision()
+            ? ReferenceCheck.judge(configuration, change)
+            : Verdict.CONFLICT;
+    commands.put(change.commandId(), new Command(offset, logTimeMillis, verdict));
     if (verdict == Verdict.ACCEPTED) {
-      configuration =
-          change
-              .value()
-              .map(value -> configuration.with(value, offset))
-              .orElseGet(() -> configuration.without(change.key(), offset));
+      change(offset, change);
     }
     return verdict;
   }
 
-  private Verdict judge(ControlRecord.Change change) {
-    boolean exists = configuration.find(change.key()).isPresent();
-    long revision =
-        exists ? configuration.revision(change.key()).orElseThrow() : ControlRecord.ABSENT_REVISION;
-    if (revision != change.expectedRevision()) {
-      return Verdict.CONFLICT;
+  private void change(long offset, ControlRecord.Change change) {
+    boolean existed = configuration.find(change.key()).isPresent();
+    tombstones.remove(change.key());
+    if (change.value().isPresent()) {
+      configuration = configuration.with(change.value().get(), offset);
+    } else {
+      configuration = configuration.without(change.key(), offset);
+      tombstones.put(change.key(), logTimeMillis);
+    }
+    if (change.key().kind() == ObjectKind.BACKEND_SERVER && !existed) {
+      owners = owners.updated(shards(), membership, membership, offset);
     }
-    boolean keyMatches =
-        change.value().map(value -> value.key().equals(change.key())).orElse(exists);
-    return keyMatches ? Verdict.ACCEPTED : Verdict.INVALID;
+  }
+
+  private Set<ShardId> shards() {
+    return ShardMap.of(configuration).shards().keySet();
   }
 
   private Verdict applyJoin(long offset, ControlRecord.Join join) {
-    boolean firstOfRegion =
-        membership.active().stream()
-            .noneMatch(member -> member.region().equals(join.member().region()));
-    membership = membership.with(new Membership.Entry(join.member(), offset, firstOfRegion));
+    Member member = join.member();
+    Optional<Membership.Entry> previous = membership.find(member.node());
+    Optional<String> knownBoot = newestBoot(member.node());
+    if (knownBoot.isPresent() && knownBoot.get().compareTo(member.boot()) >= 0) {
+      boolean repeated = previous.isPresent() && knownBoot.get().equals(member.boot());
+      return repeated ? Verdict.DUPLICATE : Verdict.INVALID;
+    }
+    Membership remaining = membership.without(member.node());
+    MemberStanding standing =
+        isOccupied(remaining, member.region()) ? MemberStanding.JOINED : MemberStanding.ACTIVE;
+    previous.ifPresent(entry -> remember(entry.run()));
+    changeMembership(offset, remaining.with(new Membership.Entry(member, offset, standing)));
     return Verdict.ACCEPTED;
   }
 
-  private Verdict applyActivate(ControlRecord.Activate activate) {
-    Optional<Membership.Entry> entry = entry(activate.node(), activate.boot());
-    entry.ifPresent(
-        found ->
-            membership =
-                membership.with(new Membership.Entry(found.member(), found.joinedAt(), true)));
+  private static boolean isOccupied(Membership membership, RegionName region) {
+    return membership.inRegion(region).stream().anyMatch(Membership.Entry::mayBelieveToOwn);
+  }
+
+  private Verdict applyActivate(long offset, ControlRecord.Activate activate) {
+    return membership
+        .find(new RunId(activate.node(), activate.boot()))
+        .map(entry -> activate(offset, entry))
+        .orElse(Verdict.INVALID);
+  }
+
+  private Verdict activate(long offset, Membership.Entry entry) {
+    return switch (entry.standing()) {
+      case JOINED -> {
+        changeMembership(offset, membership.with(standing(entry, MemberStanding.ACTIVE)));
+        yield Verdict.ACCEPTED;
+      }
+      case ACTIVE -> Verdict.DUPLICATE;
+      case SUSPENDED -> Verdict.INVALID;
+    };
+  }
+
+  private static Membership.Entry standing(Membership.Entry entry, MemberStanding standing) {
+    return new Membership.Entry(entry.member(), entry.joinedAt(), standing);
+  }
+
+  private Verdict applyLeave(long offset, ControlRecord.Leave leave) {
+    Optional<Membership.Entry> entry = membership.find(new RunId(leave.node(), leave.boot()));
+    entry.ifPresent(found -> end(offset, found));
     return entry.isPresent() ? Verdict.ACCEPTED : Verdict.INVALID;
   }
 
-  private Verdict applyRemoval(NodeName node, String boot) {
-    if (entry(node, boot).isEmpty()) {
+  private Verdict applyExpel(long offset, ControlRecord.Expel expel) {
+    Optional<Membership.Entry> target = membership.find(new RunId(expel.node(), expel.boot()));
+    Optional<Membership.Entry> sender =
+        membership.find(expel.by()).filter(by -> by.standing() != MemberStanding.SUSPENDED);
+    if (target.isEmpty() || sender.isEmpty() || expel.node().equals(expel.by())) {
       return Verdict.INVALID;
     }
-    membership = membership.without(node);
-    return Verdict.ACCEPTED;
+    if (expel.reason() == ExpelReason.GONE) {
+      end(offset, target.get());
+      return Verdict.ACCEPTED;
+    }
+    boolean mayJudge =
+        sender.get().active()
+            && sender.get().member().region().equals(target.get().member().region());
+    return mayJudge ? suspend(offset, target.get()) : Verdict.INVALID;
+  }
+
+  private Verdict suspend(long offset, Membership.Entry target) {
+    return switch (target.standing()) {
+      case JOINED -> {
+        end(offset, target);
+        yield Verdict.ACCEPTED;
+      }
+      case ACTIVE -> {
+        changeMembership(offset, membership.with(standing(target, MemberStanding.SUSPENDED)));
+        yield Verdict.ACCEPTED;
+      }
+      case SUSPENDED -> Verdict.DUPLICATE;
+    };
   }
 
-  private Optional<Membership.Entry> entry(NodeName node, String boot) {
-    return membership.find(node).filter(entry -> entry.member().boot().equals(boot));
+  private void end(long offset, Membership.Entry entry) {
+    remember(entry.run());
+    changeMembership(offset, membership.without(entry.run().node()));
+  }
+
+  private void remember(RunId run) {
+    ended.remove(run.node());
+    ended.put(run.node(), new Ended(run.boot(), logTimeMillis));
+  }
+
+  private void changeMembership(long offset, Membership changed) {
+    owners = owners.updated(Set.of(), membership, changed, offset);
+    membership = changed;
   }
 
   /**
    * Returns what was decided about an operator's command.
    *
    * @param commandId identity of the command
-   * @return the verdict, or empty if the command was not seen
+   * @return the verdict, or empty if the command was not seen within the retention period
    */
   public Optional<Verdict> verdict(String commandId) {
-    return Optional.ofNullable(commands.get(commandId));
+    return Optional.ofNullable(commands.get(commandId)).map(Command::verdict);
+  }
+
+  /**
+   * Returns the offset of the record of an operator's command.
+   *
+   * @param commandId identity of the command
+   * @return the offset, or empty if the command was not seen within the retention period
+   */
+  public Optional<Long> offsetOf(String commandId) {
+    return Optional.ofNullable(commands.get(commandId)).map(Command::offset);
+  }
+
+  /**
+   * Returns the revision that a change of an object must expect now. For a removed object it is the
+   * offset of the removal while the tombstone is kept, so that a late copy of the command that
+   * created the object does not bring it back.
+   *
+   * @param key object
+   * @return log offset, or {@link ControlRecord#ABSENT_REVISION}
+   */
+  public long expectedRevision(ObjectKey key) {
+    return configuration.revision(key).orElse(ControlRecord.ABSENT_REVISION);
   }
 
   /**
@@ -127,6 +311,29 @@
     return membership;
   }
 
+  /**
+   * Returns the newest boot identity of a node that the state knows. A join with the same or an
+   * earlier one is a late copy.
+   *
+   * @param node entry daemon
+   * @return boot identity of the current or the last run
+   */
+  public Optional<String> newestBoot(NodeName node) {
+    return membership
+        .find(node)
+        .map(entry -> entry.member().boot())
+        .or(() -> Optional.ofNullable(ended.get(node)).map(Ended::boot));
+  }
+
+  /**
+   * Returns the owner and epoch of every shard.
+   *
+   * @return immutable view
+   */
+  public ShardOwners owners() {
+    return owners;
+  }
+
   /**
    * Returns the offset of the next record to apply.
    *
@@ -135,4 +342,67 @@
   public long nextOffset() {
     return nextOffset;
   }
+
+  /**
+   * Returns the greatest time that the log stated for an applied record.
+   *
+   * @return milliseconds since the epoch
+   */
+  public long logTimeMillis() {
+    return logTimeMillis;
+  }
+
+  /**
+   * Tells whether the state can follow a log that has dropped its early records.
+   *
+   * @param earliest first retained offset
+   * @return false if records are missing, so that a snapshot is needed
+   */
+  public boolean canContinueFrom(long earliest) {
+    return nextOffset >= earliest;
+  }
+
+  /**
+   * Returns the state as snapshot records at the basis {@link #nextOffset()}. Equal states give
+   * equal records.
+   *
+   * @param encodedBytes size of an entry in the encoding of the log
+   * @return the parts in order
+   */
+  public List<ControlRecord.Snapshot> snapshot(ToIntFunction<SnapshotEntry> encodedBytes) {
+    List<SnapshotEntry> entries =
+        SnapshotEntries.of(configuration, membership, owners, commands, tombstones, ended);
+    return SnapshotEntries.split(nextOffset, logTimeMillis, entries, encodedBytes);
+  }
+
+  /**
+   * Replaces the state by a complete snapshot, unless the state is at least as new: revisions never
+   * go back.
+   *
+   * @param parts all parts of one snapshot, in order
+   * @return true if the state was replaced
+   * @throws IllegalArgumentException if the parts are not one complete snapshot
+   */
+  public boolean load(List<ControlRecord.Snapshot> parts) {
+    SnapshotEntries.requireComplete(parts);
+    if (parts.get(0).basis() <= nextOffset) {
+      return false;
+    }
+    List<SnapshotEntry> entries = parts.stream().flatMap(part -> part.entries().stream()).toList();
+    SnapshotEntries.Restored restored = SnapshotEntries.restore(entries);
+    configuration = restored.configuration();
+    membership = restored.membership();
+    owners = restored.owners();
+    replace(commands, restored.commands());
+    replace(tombstones, restored.tombstones());
+    replace(ended, restored.ended());
+    nextOffset = parts.get(0).basis();
+    logTimeMillis = parts.get(0).logTimeMillis();
+    return true;
+  }
+
+  private static <K, V> void replace(Map<K, V> target, Map<K, V> source) {
+    target.clear();
+    target.putAll(source);
+  }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/Membership.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/Membership.java
@@ -3,8 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.RegionName;
 import org.cactusseam.model.control.Member;
+import org.cactusseam.model.control.MemberStanding;
+import org.cactusseam.model.control.RunId;
 
 /**
  * Immutable view of the entry daemons that the control log knows.
@@ -21,9 +26,37 @@
    *
    * @param member description of the run
    * @param joinedAt log offset of its {@code Join}
-   * @param active whether it may own shards
+   * @param standing standing of the run
    */
-  public record Entry(Member member, long joinedAt, boolean active) {}
+  public record Entry(Member member, long joinedAt, MemberStanding standing) {
+
+    /**
+     * Tells whether the run may own shards.
+     *
+     * @return true if it is active
+     */
+    public boolean active() {
+      return standing == MemberStanding.ACTIVE;
+    }
+
+    /**
+     * Tells whether the run owns shards or may still believe that it does.
+     *
+     * @return true if it is active or suspended
+     */
+    public boolean mayBelieveToOwn() {
+      return standing != MemberStanding.JOINED;
+    }
+
+    /**
+     * Returns the identity of the run.
+     *
+     * @return node and boot identity
+     */
+    public RunId run() {
+      return RunId.of(member);
+    }
+  }
 
   /** Copies the list. */
   public Membership {
@@ -49,6 +82,42 @@
     return entries.stream().filter(Entry::active).map(Entry::member).toList();
   }
 
+  /**
+   * Looks up a run.
+   *
+   * @param run run
+   * @return its entry, or empty if the node is absent or has another run
+   */
+  public Optional<Entry> find(RunId run) {
+    return find(run.node()).filter(entry -> entry.run().equals(run));
+  }
+
+  /**
+   * Returns the members of a region in any standing.
+   *
+   * @param region region
+   * @return entries in the order of their records
+   */
+  public List<Entry> inRegion(RegionName region) {
+    return entries.stream().filter(entry -> entry.member().region().equals(region)).toList();
+  }
+
+  /**
+   * Returns the regions in which a run owns shards or may still believe that it does. Their shards
+   * do not move to another region.
+   *
+   * @return regions in name order
+   */
+  public SortedSet<RegionName> occupiedRegions() {
+    SortedSet<RegionName> regions = new TreeSet<>();
+    for (Entry entry : entries) {
+      if (entry.mayBelieveToOwn()) {
+        regions.add(entry.member().region());
+      }
+    }
+    return regions;
+  }
+
   /**
    * Returns a copy with one entry added, or replaced if the node is present.
    *
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ReferenceCheck.java
@@ -0,0 +1,92 @@
+package org.cactusseam.logic.control;
+
+import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.ClientAccount;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.ConfigurationObject;
+import org.cactusseam.model.FailureDomain;
+import org.cactusseam.model.PriorityClass;
+import org.cactusseam.model.Route;
+import org.cactusseam.model.control.ControlRecord;
+
+/** Checks that a change leaves no reference to an object that does not exist. */
+final class ReferenceCheck {
+
+  private ReferenceCheck() {}
+
+  static Verdict judge(Configuration configuration, ControlRecord.Change change) {
+    boolean allowed =
+        change
+            .value()
+            .map(value -> value.key().equals(change.key()) && mayPut(configuration, value))
+            .orElseGet(
+                () ->
+                    configuration
+                        .find(change.key())
+                        .map(object -> mayRemove(configuration, object))
+                        .orElse(false));
+    return allowed ? Verdict.ACCEPTED : Verdict.INVALID;
+  }
+
+  private static boolean mayPut(Configuration configuration, ConfigurationObject value) {
+    return switch (value) {
+      case ClientAccount account ->
+          configuration.priorityClass(account.priorityClass()).isPresent();
+      case PriorityClass priorityClass -> true;
+      case Route route ->
+          !configuration.any(
+              BackendServer.class,
+              server -> server.pool().equals(route.pool()) && server.kind() != route.kind());
+      case FailureDomain domain -> mayPutDomain(configuration, domain);
+      case BackendServer server -> mayPutServer(configuration, server);
+    };
+  }
+
+  /** The region of a failure domain that holds servers is fixed, because it determines shards. */
+  private static boolean mayPutDomain(Configuration configuration, FailureDomain domain) {
+    boolean moves =
+        configuration
+            .domain(domain.name())
+            .map(known -> !known.region().equals(domain.region()))
+            .orElse(false);
+    return !moves || !isUsed(configuration, domain);
+  }
+
+  /** A server that changed its pool or region would move between owners with different views. */
+  private static boolean mayPutServer(Configuration configuration, BackendServer server) {
+    boolean moves =
+        configuration
+            .server(server.name())
+            .map(
+                known ->
+                    !known.pool().equals(server.pool()) || !known.domain().equals(server.domain()))
+            .orElse(false);
+    return !moves
+        && configuration.domain(server.domain()).isPresent()
+        && !configuration.any(
+            BackendServer.class,
+            other ->
+                other.pool().equals(server.pool())
+                    && other.kind() != server.kind()
+                    && !other.name().equals(server.name()))
+        && !configuration.any(
+            Route.class,
+            route -> route.pool().equals(server.pool()) && route.kind() != server.kind());
+  }
+
+  private static boolean mayRemove(Configuration configuration, ConfigurationObject object) {
+    return switch (object) {
+      case PriorityClass priorityClass ->
+          !configuration.any(
+              ClientAccount.class, account -> account.priorityClass().equals(priorityClass.name()));
+      case FailureDomain domain -> !isUsed(configuration, domain);
+      case ClientAccount account -> true;
+      case Route route -> true;
+      case BackendServer server -> true;
+    };
+  }
+
+  private static boolean isUsed(Configuration configuration, FailureDomain domain) {
+    return configuration.any(BackendServer.class, server -> server.domain().equals(domain.name()));
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ShardOwners.java
@@ -0,0 +1,131 @@
+package org.cactusseam.logic.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import org.cactusseam.logic.membership.Ownership;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.RegionName;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.control.Member;
+import org.cactusseam.model.control.RunId;
+import org.cactusseam.model.control.ShardOwner;
+
+/**
+ * Immutable view of the owner and epoch of every shard. A shard that lost its last backend server
+ * stays, because its owner may not know yet; so an order on that server still waits for it.
+ *
+ * @param owners owner of each shard; empty while nobody may own it
+ */
+public record ShardOwners(Map<ShardId, Optional<ShardOwner>> owners) {
+
+  /** View without shards. */
+  public static final ShardOwners EMPTY = new ShardOwners(Map.of());
+
+  /** Owner and rendezvous weight; weights are only compared within one computation. */
+  private record Candidate(RunId run, long weight) {}
+
+  /**
+   * Returns the owner of a shard.
+   *
+   * @param shard shard
+   * @return the owner, or empty if nobody may own it or it does not exist
+   */
+  public Optional<ShardOwner> of(ShardId shard) {
+    return owners.getOrDefault(shard, Optional.empty());
+  }
+
+  /**
+   * Returns the owners after the record at an offset.
+   *
+   * @param shards shards that exist
+   * @param before membership before the record
+   * @param after membership after the record
+   * @param offset offset of the record; the epoch of new owners
+   * @return the new view; this object if nothing changed
+   */
+  ShardOwners updated(Set<ShardId> shards, Membership before, Membership after, long offset) {
+    Map<RegionName, Region> regions = new HashMap<>();
+    Map<ShardId, Optional<ShardOwner>> changed = new HashMap<>();
+    for (ShardId shard : allShards(shards)) {
+      Region region =
+          regions.computeIfAbsent(shard.region(), name -> Region.compare(name, before, after));
+      Optional<ShardOwner> current = of(shard);
+      Optional<RunId> owner = choose(shard, region, current.map(ShardOwner::run));
+      if (!owners.containsKey(shard) || !owner.equals(current.map(ShardOwner::run))) {
+        changed.put(shard, owner.map(run -> new ShardOwner(run, offset)));
+      }
+    }
+    if (changed.isEmpty()) {
+      return this;
+    }
+    Map<ShardId, Optional<ShardOwner>> copy = new HashMap<>(owners);
+    copy.putAll(changed);
+    return new ShardOwners(copy);
+  }
+
+  private Set<ShardId> allShards(Set<ShardId> shards) {
+    if (owners.keySet().containsAll(shards)) {
+      return owners.keySet();
+    }
+    Set<ShardId> all = new java.util.HashSet<>(owners.keySet());
+    all.addAll(shards);
+    return all;
+  }
+
+  /** Only members that became active can displace an owner that is still a candidate. */
+  private static Optional<RunId> choose(ShardId shard, Region region, Optional<RunId> current) {
+    boolean stays = current.isPresent() && region.candidates.containsKey(current.get());
+    Optional<RunId> best = stays ? current : Optional.empty();
+    Set<RunId> challengers = stays ? region.added.keySet() : region.candidates.keySet();
+    Optional<Candidate> winner =
+        best.map(run -> new Candidate(run, Ownership.weight(shard, run.node())));
+    for (RunId run : challengers) {
+      Candidate candidate = new Candidate(run, Ownership.weight(shard, run.node()));
+      if (winner.isEmpty() || precedes(candidate, winner.get())) {
+        winner = Optional.of(candidate);
+      }
+    }
+    return winner.map(Candidate::run);
+  }
+
+  private static boolean precedes(Candidate candidate, Candidate other) {
+    int byWeight = Long.compare(candidate.weight, other.weight);
+    NodeName node = candidate.run.node();
+    return byWeight != 0 ? byWeight > 0 : node.compareTo(other.run.node()) > 0;
+  }
+
+  /**
+   * Candidates for the shards of one region.
+   *
+   * @param candidates active members that can own the shards
+   * @param added those that could not before the record
+   */
+  private record Region(Map<RunId, Member> candidates, Map<RunId, Member> added) {
+
+    static Region compare(RegionName region, Membership before, Membership after) {
+      Map<RunId, Member> candidates = candidates(region, after);
+      Map<RunId, Member> added = new TreeMap<>(candidates);
+      added.keySet().removeAll(candidates(region, before).keySet());
+      return new Region(candidates, added);
+    }
+
+    private static Map<RunId, Member> candidates(RegionName region, Membership membership) {
+      SortedSet<RegionName> occupied = membership.occupiedRegions();
+      Map<RunId, Member> candidates = new TreeMap<>();
+      Optional<RegionName> owning = Ownership.owningRegion(region, occupied);
+      List<Member> active = membership.active();
+      for (Member member : active) {
+        if (Objects.equals(owning.orElse(null), member.region())) {
+          candidates.put(RunId.of(member), member);
+        }
+      }
+      return candidates;
+    }
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
@@ -0,0 +1,190 @@
+package org.cactusseam.logic.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToIntFunction;
+import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.ClientAccount;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.ConfigurationObject;
+import org.cactusseam.model.FailureDomain;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.PriorityClass;
+import org.cactusseam.model.Route;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.control.ControlRecord;
+import org.cactusseam.model.control.ShardOwner;
+import org.cactusseam.model.control.SnapshotEntry;
+
+/** Conversion between the control state and the entries of its snapshots. */
+final class SnapshotEntries {
+
+  /**
+   * Bound on one record of a snapshot; larger appends take so long that they block the records of
+   * other nodes.
+   */
+  static final int MAXIMUM_PART_BYTES = 256 * 1024;
+
+  /** Room for the fields around the entries and one separator per entry. */
+  private static final int ENVELOPE_BYTES = 512;
+
+  private static final int SEPARATOR_BYTES = 1;
+
+  /** Kinds in an order in which every reference points back. */
+  private static final List<Class<? extends ConfigurationObject>> TYPES =
+      List.of(
+          PriorityClass.class,
+          ClientAccount.class,
+          Route.class,
+          FailureDomain.class,
+          BackendServer.class);
+
+  /**
+   * State that was read from entries.
+   *
+   * @param configuration configuration
+   * @param membership membership
+   * @param owners owners
+   * @param commands commands by identity
+   * @param tombstones removal times
+   * @param ended ended runs
+   */
+  record Restored(
+      Configuration configuration,
+      Membership membership,
+      ShardOwners owners,
+      Map<String, ControlState.Command> commands,
+      Map<ObjectKey, Long> tombstones,
+      Map<NodeName, ControlState.Ended> ended) {}
+
+  private SnapshotEntries() {}
+
+  static List<SnapshotEntry> of(
+      Configuration configuration,
+      Membership membership,
+      ShardOwners owners,
+      Map<String, ControlState.Command> commands,
+      Map<ObjectKey, Long> tombstones,
+      Map<NodeName, ControlState.Ended> ended) {
+    List<SnapshotEntry> entries = new ArrayList<>();
+    for (Class<? extends ConfigurationObject> type : TYPES) {
+      configuration.all(type).forEach(object -> entries.add(present(configuration, object)));
+    }
+    tombstones.forEach(
+        (key, time) ->
+            entries.add(
+                new SnapshotEntry.Tombstone(key, configuration.revision(key).orElseThrow(), time)));
+    commands.forEach(
+        (id, command) ->
+            entries.add(
+                new SnapshotEntry.Command(
+                    id,
+                    command.offset(),
+                    command.recordedAtMillis(),
+                    SnapshotEntry.Outcome.valueOf(command.verdict().name()))));
+    membership
+        .entries()
+        .forEach(
+            entry ->
+                entries.add(
+                    new SnapshotEntry.Run(entry.member(), entry.joinedAt(), entry.standing())));
+    ended.forEach(
+        (node, run) ->
+            entries.add(new SnapshotEntry.EndedRun(node, run.boot(), run.endedAtMillis())));
+    owners.owners().keySet().stream()
+        .sorted()
+        .forEach(shard -> entries.add(new SnapshotEntry.Owned(shard, owners.of(shard))));
+    return entries;
+  }
+
+  private static SnapshotEntry present(Configuration configuration, ConfigurationObject object) {
+    Optional<Integer> shard =
+        object instanceof BackendServer server
+            ? configuration.shardOf(server.name()).map(ShardId::index)
+            : Optional.empty();
+    return new SnapshotEntry.Present(
+        object, configuration.revision(object.key()).orElseThrow(), shard);
+  }
+
+  static Restored restore(List<SnapshotEntry> entries) {
+    Configuration configuration = Configuration.EMPTY;
+    List<Membership.Entry> members = new ArrayList<>();
+    Map<ShardId, Optional<ShardOwner>> owners = new HashMap<>();
+    Map<String, ControlState.Command> commands = new LinkedHashMap<>();
+    Map<ObjectKey, Long> tombstones = new LinkedHashMap<>();
+    Map<NodeName, ControlState.Ended> ended = new LinkedHashMap<>();
+    for (SnapshotEntry entry : entries) {
+      switch (entry) {
+        case SnapshotEntry.Present present ->
+            configuration =
+                configuration.restored(present.value(), present.revision(), present.shard());
+        case SnapshotEntry.Tombstone tombstone -> {
+          configuration = configuration.without(tombstone.key(), tombstone.revision());
+          tombstones.put(tombstone.key(), tombstone.removedAtMillis());
+        }
+        case SnapshotEntry.Command command ->
+            commands.put(
+                command.commandId(),
+                new ControlState.Command(
+                    command.offset(),
+                    command.recordedAtMillis(),
+                    Verdict.valueOf(command.outcome().name())));
+        case SnapshotEntry.Run run ->
+            members.add(new Membership.Entry(run.member(), run.joinedAt(), run.standing()));
+        case SnapshotEntry.EndedRun run ->
+            ended.put(run.node(), new ControlState.Ended(run.boot(), run.endedAtMillis()));
+        case SnapshotEntry.Owned owned -> owners.put(owned.shard(), owned.owner());
+      }
+    }
+    return new Restored(
+        configuration,
+        new Membership(members),
+        new ShardOwners(owners),
+        commands,
+        tombstones,
+        ended);
+  }
+
+  static List<ControlRecord.Snapshot> split(
+      long basis,
+      long logTimeMillis,
+      List<SnapshotEntry> entries,
+      ToIntFunction<SnapshotEntry> encodedBytes) {
+    List<List<SnapshotEntry>> groups = new ArrayList<>();
+    List<SnapshotEntry> group = new ArrayList<>();
+    int bytes = ENVELOPE_BYTES;
+    for (SnapshotEntry entry : entries) {
+      int size = encodedBytes.applyAsInt(entry) + SEPARATOR_BYTES;
+      if (!group.isEmpty() && bytes + size > MAXIMUM_PART_BYTES) {
+        groups.add(group);
+        group = new ArrayList<>();
+        bytes = ENVELOPE_BYTES;
+      }
+      group.add(entry);
+      bytes += size;
+    }
+    groups.add(group);
+    List<ControlRecord.Snapshot> parts = new ArrayList<>();
+    for (List<SnapshotEntry> part : groups) {
+      parts.add(
+          new ControlRecord.Snapshot(basis, logTimeMillis, parts.size(), groups.size(), part));
+    }
+    return List.copyOf(parts);
+  }
+
+  static void requireComplete(List<ControlRecord.Snapshot> parts) {
+    boolean complete = !parts.isEmpty() && parts.size() == parts.get(0).parts();
+    for (int position = 0; complete && position < parts.size(); position++) {
+      ControlRecord.Snapshot part = parts.get(position);
+      complete = part.part() == position && part.basis() == parts.get(0).basis();
+    }
+    if (!complete) {
+      throw new IllegalArgumentException("not the parts of one complete snapshot");
+    }
+  }
+}
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/ShardMap.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/ShardMap.java
@@ -3,13 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.Configuration;
-import org.cactusseam.model.FailureDomain;
 import org.cactusseam.model.PoolName;
-import org.cactusseam.model.RegionName;
 import org.cactusseam.model.ShardId;
 
 /**
@@ -20,8 +17,6 @@
  */
 public record ShardMap(Map<ShardId, List<BackendServer>> shards) {
 
-  private record PoolRegion(PoolName pool, RegionName region) {}
-
   /**
    * Computes the shards of a configuration. Servers of unknown failure domains belong to none.
    *
@@ -30,15 +25,10 @@
    */
   public static ShardMap of(Configuration configuration) {
     Map<ShardId, List<BackendServer>> shards = new TreeMap<>();
-    Map<PoolRegion, Integer> counts = new java.util.HashMap<>();
     for (BackendServer server : configuration.all(BackendServer.class)) {
-      Optional<FailureDomain> domain = configuration.domain(server.domain());
-      if (domain.isPresent()) {
-        PoolRegion group = new PoolRegion(server.pool(), domain.get().region());
-        int position = counts.merge(group, 1, Integer::sum) - 1;
-        ShardId shard = new ShardId(group.pool, group.region, position / ShardId.MAXIMUM_SERVERS);
-        shards.computeIfAbsent(shard, id -> new ArrayList<>()).add(server);
-      }
+      configuration
+          .shardOf(server.name())
+          .ifPresent(shard -> shards.computeIfAbsent(shard, id -> new ArrayList<>()).add(server));
     }
     return new ShardMap(shards);
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
@@ -13,27 +13,87 @@
 public final class Configuration {
 
   /** Configuration without objects. */
-  public static final Configuration EMPTY = new Configuration(HashMap.empty(), HashMap.empty());
+  public static final Configuration EMPTY =
+      new Configuration(HashMap.empty(), HashMap.empty(), HashMap.empty());
 
   private final Map<ObjectKey, ConfigurationObject> objects;
   private final Map<ObjectKey, Long> revisions;
+  private final Map<BackendServerName, ShardId> shards;
 
   private Configuration(
-      Map<ObjectKey, ConfigurationObject> objects, Map<ObjectKey, Long> revisions) {
+      Map<ObjectKey, ConfigurationObject> objects,
+      Map<ObjectKey, Long> revisions,
+      Map<BackendServerName, ShardId> shards) {
     this.objects = objects;
     this.revisions = revisions;
+    this.shards = shards;
   }
 
   /**
-   * Returns a copy with one object added or replaced.
+   * Returns a copy with one object added or replaced. A new backend server is assigned to the first
+   * shard of its pool and region that has room, and stays there: if a change moved servers between
+   * shards, two owners with different views could admit to the same server.
    *
    * @param object object
    * @param revision log offset of the change
    * @return the copy
    */
   public Configuration with(ConfigurationObject object, long revision) {
+    Configuration copy =
+        new Configuration(
+            objects.put(object.key(), object), revisions.put(object.key(), revision), shards);
+    if (object instanceof BackendServer server && !isAssigned(server)) {
+      return copy.assign(server);
+    }
+    return copy;
+  }
+
+  /**
+   * Returns a copy with one object at a known place, as a snapshot states it.
+   *
+   * @param object object
+   * @param revision log offset of its last change
+   * @param shardIndex index of the shard of a backend server
+   * @return the copy
+   */
+  public Configuration restored(
+      ConfigurationObject object, long revision, Optional<Integer> shardIndex) {
+    Map<BackendServerName, ShardId> places = shards;
+    if (object instanceof BackendServer server && shardIndex.isPresent()) {
+      RegionName region = domain(server.domain()).orElseThrow().region();
+      places = places.put(server.name(), new ShardId(server.pool(), region, shardIndex.get()));
+    }
     return new Configuration(
-        objects.put(object.key(), object), revisions.put(object.key(), revision));
+        objects.put(object.key(), object), revisions.put(object.key(), revision), places);
+  }
+
+  private boolean isAssigned(BackendServer server) {
+    Optional<RegionName> region = domain(server.domain()).map(FailureDomain::region);
+    return shards
+        .get(server.name())
+        .exists(
+            shard ->
+                shard.pool().equals(server.pool()) && Optional.of(shard.region()).equals(region));
+  }
+
+  private Configuration assign(BackendServer server) {
+    Map<BackendServerName, ShardId> others = shards.remove(server.name());
+    Optional<FailureDomain> domain = domain(server.domain());
+    if (domain.isEmpty()) {
+      return new Configuration(objects, revisions, others);
+    }
+    java.util.Map<Integer, Integer> used = new java.util.HashMap<>();
+    for (ShardId shard : others.values()) {
+      if (shard.pool().equals(server.pool()) && shard.region().equals(domain.get().region())) {
+        used.merge(shard.index(), 1, Integer::sum);
+      }
+    }
+    int index = 0;
+    while (used.getOrDefault(index, 0) >= ShardId.MAXIMUM_SERVERS) {
+      index++;
+    }
+    ShardId shard = new ShardId(server.pool(), domain.get().region(), index);
+    return new Configuration(objects, revisions, others.put(server.name(), shard));
   }
 
   /**
@@ -44,7 +104,49 @@
    * @return the copy
    */
   public Configuration without(ObjectKey key, long revision) {
-    return new Configuration(objects.remove(key), revisions.put(key, revision));
+    Map<BackendServerName, ShardId> places =
+        key.kind() == ObjectKind.BACKEND_SERVER
+            ? shards.remove(new BackendServerName(key.name()))
+            : shards;
+    return new Configuration(objects.remove(key), revisions.put(key, revision), places);
+  }
+
+  /**
+   * Returns a copy that no longer knows the revision of a removed object.
+   *
+   * @param key object that does not exist
+   * @return the copy
+   */
+  public Configuration forget(ObjectKey key) {
+    return new Configuration(objects, revisions.remove(key), shards);
+  }
+
+  /**
+   * Returns the shard of a backend server.
+   *
+   * @param server name
+   * @return the shard, or empty if the server does not exist
+   */
+  public Optional<ShardId> shardOf(BackendServerName server) {
+    return shards.get(server).toJavaOptional();
+  }
+
+  /**
+   * Tells whether any object of a type meets a condition. Unlike {@link #all} it does not sort.
+   *
+   * @param type record type
+   * @param condition condition
+   * @param <T> record type
+   * @return true if one does
+   */
+  public <T extends ConfigurationObject> boolean any(
+      Class<T> type, java.util.function.Predicate<T> condition) {
+    for (ConfigurationObject object : objects.values()) {
+      if (type.isInstance(object) && condition.test(type.cast(object))) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
 import java.util.Optional;
 import org.cactusseam.model.ConfigurationObject;
 import org.cactusseam.model.NodeName;
@@ -14,7 +15,8 @@
   @JsonSubTypes.Type(value = ControlRecord.Join.class, name = "join"),
   @JsonSubTypes.Type(value = ControlRecord.Activate.class, name = "activate"),
   @JsonSubTypes.Type(value = ControlRecord.Leave.class, name = "leave"),
-  @JsonSubTypes.Type(value = ControlRecord.Expel.class, name = "expel")
+  @JsonSubTypes.Type(value = ControlRecord.Expel.class, name = "expel"),
+  @JsonSubTypes.Type(value = ControlRecord.Snapshot.class, name = "snapshot")
 })
 public sealed interface ControlRecord {
 
@@ -62,11 +64,35 @@
   record Leave(NodeName node, String boot) implements ControlRecord {}
 
   /**
-   * Another entry daemon declares a run to be unreachable.
+   * Another entry daemon removes a run from the view.
    *
    * @param node entry daemon that is removed
    * @param boot identity of its run
    * @param by entry daemon that removes it
+   * @param reason what is known about the run
    */
-  record Expel(NodeName node, String boot, NodeName by) implements ControlRecord {}
+  record Expel(NodeName node, String boot, NodeName by, ExpelReason reason)
+      implements ControlRecord {}
+
+  /**
+   * One part of the whole state at an offset. Nodes that write the snapshot of the same basis write
+   * the same parts.
+   *
+   * @param basis offset of the first record that the snapshot does not contain
+   * @param logTimeMillis time of the newest record before the basis, as the log states it
+   * @param part position of this part, from 0
+   * @param parts number of parts
+   * @param entries entries of this part
+   */
+  record Snapshot(long basis, long logTimeMillis, int part, int parts, List<SnapshotEntry> entries)
+      implements ControlRecord {
+
+    /** Copies the list and checks the position. */
+    public Snapshot {
+      if (part < 0 || part >= parts) {
+        throw new IllegalArgumentException("part " + part + " of " + parts);
+      }
+      entries = List.copyOf(entries);
+    }
+  }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/Member.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/Member.java
@@ -20,4 +20,15 @@
     String host,
     int peerPort,
     FailureDomainName domain,
-    RegionName region) {}
+    RegionName region) {
+
+  /**
+   * Returns a copy for a later run.
+   *
+   * @param newBoot identity of the later run
+   * @return the copy
+   */
+  public Member withBoot(String newBoot) {
+    return new Member(node, newBoot, host, peerPort, domain, region);
+  }
+}
