Add membership, leases and takeover of admission shards

Cause: each shard needs at most one granting owner during any faults, and a new one within 10 s after contact is restored. Change: MembershipCoordinator decides on joins, activation, expulsion, leaving with handover, takeover and the lease.

--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
@@ -0,0 +1,520 @@
+package org.cactusseam.logic.membership;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cactusseam.logic.control.ControlState;
+import org.cactusseam.logic.control.Membership;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.control.ControlRecord;
+import org.cactusseam.model.control.ExpelReason;
+import org.cactusseam.model.control.Handover;
+import org.cactusseam.model.control.Member;
+import org.cactusseam.model.control.MemberStanding;
+import org.cactusseam.model.control.PeerStatus;
+import org.cactusseam.model.control.RunId;
+
+/**
+ * Membership, failure detection and the lease of one node. It decides which shards the node owns
+ * and whether it may grant permits now; the daemon does the input and output.
+ *
+ * <p>Not thread-safe; owned by the control thread. The clock must never go back.
+ */
+public final class MembershipCoordinator {
+
+  /**
+   * Delay per rank of an append that several nodes could make. With the bound on the rank it stays
+   * below the 500 ms that detection and takeover leave of the 7 s for an order.
+   */
+  private static final Duration DELAY_PER_RANK = Duration.ofMillis(100);
+
+  private static final int MAXIMUM_RANK = 3;
+  private static final Duration MAXIMUM_REJOIN_DELAY = Duration.ofSeconds(30);
+  private static final Duration FETCH_INTERVAL = Duration.ofMillis(250);
+
+  private final MembershipSettings settings;
+  private final Clock clock;
+  private final PeerTable peers;
+  private final Tenures tenures;
+  private final List<MembershipAction> actions = new ArrayList<>();
+  private final Map<ControlRecord, Instant> appends = new HashMap<>();
+  private final Map<ShardId, Handover> handovers = new TreeMap<>();
+  private Member self;
+  private Membership membership = Membership.EMPTY;
+  private Optional<Membership.Entry> own = Optional.empty();
+  private Optional<String> knownBoot = Optional.empty();
+  private long nextOffset;
+  private boolean loaded;
+  private boolean leaving;
+  private boolean logFailed = true;
+  private Optional<Instant> logReadAt = Optional.empty();
+  private Optional<Instant> fetchedAt = Optional.empty();
+  private Optional<Instant> handoversSentAt = Optional.empty();
+  private Instant rejoinAt;
+  private Duration rejoinDelay;
+
+  /**
+   * Creates the coordinator of a starting node.
+   *
+   * @param self description of the run; see {@link #self()}
+   * @param settings times and bounds
+   * @param clock clock that never goes back
+   */
+  public MembershipCoordinator(Member self, MembershipSettings settings, Clock clock) {
+    this.self = self;
+    this.settings = settings;
+    this.clock = clock;
+    peers = new PeerTable(settings);
+    tenures = new Tenures(settings);
+    rejoinAt = clock.instant();
+    rejoinDelay = settings.appendRetry();
+  }
+
+  /**
+   * Notes a change of the control state. It must be called after each applied record and each
+   * loaded snapshot; if records were skipped, the node waits longer before it takes shards over.
+   *
+   * @param state state of this node
+   */
+  public void applied(ControlState state) {
+    if (loaded && state.nextOffset() == nextOffset) {
+      return;
+    }
+    Instant now = clock.instant();
+    boolean skipped = !loaded || state.nextOffset() != nextOffset + 1;
+    boolean membershipChanged = state.membership() != membership;
+    loaded = true;
+    nextOffset = state.nextOffset();
+    membership = state.membership();
+    knownBoot = state.newestBoot(self.node());
+    if (membershipChanged) {
+      own = membership.find(run());
+      peers.membershipChanged(membership, now);
+      appends.keySet().removeIf(record -> !isPending(record));
+    }
+    peers.caughtUp(nextOffset);
+    tenures.changed(state.owners(), skipped, run(), now);
+    updateTenures(now);
+  }
+
+  /**
+   * Notes a read of the control log. All records that it returned must have been applied.
+   *
+   * @param sentAt time when the read was sent
+   * @param current whether it reached the end of the log
+   */
+  public void logRead(Instant sentAt, boolean current) {
+    logFailed = false;
+    if (current) {
+      logReadAt = PeerTable.later(logReadAt, Optional.of(sentAt));
+    }
+  }
+
+  /** Notes a failed read of the control log. Appends wait until a read succeeds. */
+  public void logFailed() {
+    logFailed = true;
+  }
+
+  /**
+   * Notes the answer to a ping, which also relays the freshness of the peer's view.
+   *
+   * @param sequence number of the ping
+   * @param status statement of the answering run
+   */
+  public void pongReceived(long sequence, PeerStatus status) {
+    Instant now = clock.instant();
+    boolean behind = peers.pongReceived(sequence, status, nextOffset, now);
+    boolean fetchDue = fetchedAt.map(at -> !at.plus(FETCH_INTERVAL).isAfter(now)).orElse(true);
+    if (behind && fetchDue && !isFresh(logReadAt, settings.lease().dividedBy(2), now)) {
+      fetchedAt = Optional.of(now);
+      actions.add(new MembershipAction.FetchRecords(status.run(), nextOffset));
+    }
+  }
+
+  /**
+   * Notes that an address refused a connection.
+   *
+   * @param node node that listens on the address while it runs
+   * @param attemptedAt time when the attempt started
+   */
+  public void connectionRefused(NodeName node, Instant attemptedAt) {
+    peers.connectionRefused(node, attemptedAt, clock.instant());
+  }
+
+  /**
+   * Notes the boot identity that a node stated on a new connection.
+   *
+   * @param run run that answered
+   */
+  public void bootSeen(RunId run) {
+    peers.bootSeen(run, clock.instant());
+  }
+
+  /**
+   * Notes an answer of the VM list.
+   *
+   * @param shown nodes of the VMs that it shows
+   * @param asOf time when the list was asked, less the age that the answer states for itself
+   */
+  public void vmListRead(Set<NodeName> shown, Instant asOf) {
+    peers.listRead(shown, asOf, clock.instant());
+  }
+
+  /**
+   * Notes a handover from a leaving run. It is ignored if it is not meant for this run, or if this
+   * run cannot own shards any more.
+   *
+   * @param handover handover
+   */
+  public void handoverReceived(Handover handover) {
+    if (leaving || !handover.to().equals(run()) || !isActive()) {
+      return;
+    }
+    tenures.handoverReceived(handover, run());
+    actions.add(new MembershipAction.AcknowledgeHandover(handover));
+    updateTenures(clock.instant());
+  }
+
+  /**
+   * Notes that a successor accepted a handover of this run.
+   *
+   * @param handover handover
+   */
+  public void handoverAcknowledged(Handover handover) {
+    handovers.remove(handover.shard(), handover);
+  }
+
+  /** Stops granting and hands all shards over. The node answers pings until it exits. */
+  public void leave() {
+    if (leaving) {
+      return;
+    }
+    Instant now = clock.instant();
+    Set<ShardId> settled = Set.copyOf(tenures.started().keySet());
+    leaving = true;
+    for (ShardId shard : settled) {
+      successor(shard).ifPresent(to -> handovers.put(shard, handover(shard, to)));
+    }
+    updateTenures(now);
+    tick();
+  }
+
+  private Handover handover(ShardId shard, RunId to) {
+    RunId owner = tenures.ownerByLog(shard).orElseThrow().run();
+    return new Handover(shard, owner, run(), to, tenures.releasedBy(shard, run()));
+  }
+
+  private Optional<RunId> successor(ShardId shard) {
+    return membership.inRegion(self.region()).stream()
+        .filter(Membership.Entry::active)
+        .map(Membership.Entry::run)
+        .filter(run -> !run.equals(run()) && !peers.isEnded(run) && !peers.isLeaving(run))
+        .max(
+            Comparator.comparingLong((RunId run) -> Ownership.weight(shard, run.node()))
+                .thenComparing(Comparator.naturalOrder()));
+  }
+
+  /** Does what is due. It should be called at least every 100 ms. */
+  public void tick() {
+    Instant now = clock.instant();
+    updateTenures(now);
+    peers.prune(now);
+    sendPings(now);
+    if (leaving) {
+      sendHandovers(now);
+    }
+    if (loaded && isLogUp(now)) {
+      appendOwnRecords(now);
+      expelOthers(now);
+    }
+  }
+
+  private void updateTenures(Instant now) {
+    boolean mayOwn = !leaving && isActive();
+    List<ShardId> lost =
+        tenures.started().keySet().stream()
+            .filter(shard -> !mayOwn || !tenures.isStarted(shard))
+            .toList();
+    for (ShardId shard : lost) {
+      tenures.started().remove(shard);
+      actions.add(new MembershipAction.StopOwning(shard));
+    }
+    if (mayOwn) {
+      tenures.owned().entrySet().stream()
+          .sorted(Map.Entry.comparingByKey())
+          .filter(entry -> !tenures.isStarted(entry.getKey()))
+          .filter(entry -> tenures.isClear(entry.getKey(), now))
+          .forEach(entry -> start(entry.getKey(), entry.getValue()));
+    }
+  }
+
+  private void start(ShardId shard, long epoch) {
+    tenures.started().put(shard, epoch);
+    actions.add(new MembershipAction.BecomeOwner(shard, epoch));
+  }
+
+  private void sendPings(Instant now) {
+    for (RunId run : pinged(now)) {
+      if (peers.isPingDue(run, now)) {
+        actions.add(new MembershipAction.SendPing(run, peers.pingSent(run, now)));
+      }
+    }
+  }
+
+  /**
+   * In a small region all members. In a large one a joining node pings all, and so does an owner
+   * that cannot read the log, because it needs their answers; others ping the next members in name
+   * order up to a number of responsive ones.
+   */
+  private List<RunId> pinged(Instant now) {
+    List<Membership.Entry> others =
+        membership.inRegion(self.region()).stream()
+            .filter(entry -> !entry.run().equals(run()))
+            .sorted(Comparator.comparing(Membership.Entry::run))
+            .toList();
+    boolean needsAll =
+        others.size() < settings.meshMembers()
+            || standing().equals(Optional.of(MemberStanding.JOINED))
+            || (!tenures.owned().isEmpty()
+                && !isFresh(logReadAt, settings.lease().dividedBy(2), now));
+    List<RunId> runs = others.stream().map(Membership.Entry::run).toList();
+    return needsAll ? runs : monitored(runs, now);
+  }
+
+  private List<RunId> monitored(List<RunId> sorted, Instant now) {
+    int first = (int) sorted.stream().filter(run -> run.compareTo(run()) < 0).count();
+    List<RunId> chosen = new ArrayList<>();
+    int responsive = 0;
+    for (int step = 0; step < sorted.size(); step++) {
+      if (responsive >= settings.monitoredMembers()) {
+        break;
+      }
+      RunId run = sorted.get((first + step) % sorted.size());
+      chosen.add(run);
+      responsive += peers.isSilent(run, settings.detection().dividedBy(2), now) ? 0 : 1;
+    }
+    return chosen;
+  }
+
+  private void sendHandovers(Instant now) {
+    for (Map.Entry<ShardId, Handover> entry : handovers.entrySet()) {
+      // Another successor may be named only if the first one is certainly gone.
+      if (peers.isEnded(entry.getValue().to())) {
+        successor(entry.getKey()).ifPresent(to -> entry.setValue(handover(entry.getKey(), to)));
+      }
+    }
+    if (handoversSentAt.map(at -> at.plus(settings.pingInterval()).isAfter(now)).orElse(false)) {
+      return;
+    }
+    handoversSentAt = Optional.of(now);
+    handovers.values().forEach(sent -> actions.add(new MembershipAction.SendHandover(sent)));
+  }
+
+  private void appendOwnRecords(Instant now) {
+    if (leaving) {
+      own.ifPresent(entry -> append(new ControlRecord.Leave(self.node(), self.boot()), now));
+      return;
+    }
+    if (own.isPresent() && own.get().standing() == MemberStanding.ACTIVE) {
+      rejoinDelay = settings.appendRetry();
+    } else if (own.isPresent() && own.get().standing() == MemberStanding.JOINED) {
+      activate(own.get(), now);
+    } else if (!now.isBefore(rejoinAt)) {
+      join(now);
+    }
+  }
+
+  private void activate(Membership.Entry joined, Instant now) {
+    boolean acknowledged =
+        membership.inRegion(self.region()).stream()
+            .filter(Membership.Entry::mayBelieveToOwn)
+            .allMatch(entry -> peers.hasAcknowledged(entry.run(), joined.joinedAt()));
+    if (acknowledged) {
+      append(new ControlRecord.Activate(self.node(), self.boot()), now);
+    }
+  }
+
+  /** A run that was removed from the view comes back as a later run. */
+  private void join(Instant now) {
+    if (knownBoot.map(boot -> boot.compareTo(self.boot()) >= 0).orElse(false)) {
+      self = self.withBoot(Boots.after(knownBoot.orElseThrow()));
+      own = Optional.empty();
+      rejoinAt = now.plus(rejoinDelay);
+      Duration doubled = rejoinDelay.multipliedBy(2);
+      rejoinDelay = doubled.compareTo(MAXIMUM_REJOIN_DELAY) > 0 ? MAXIMUM_REJOIN_DELAY : doubled;
+      tenures.refresh(run());
+    }
+    append(new ControlRecord.Join(self), now);
+  }
+
+  private void expelOthers(Instant now) {
+    Optional<MemberStanding> standing = standing();
+    if (standing.isEmpty() || standing.get() == MemberStanding.SUSPENDED) {
+      return;
+    }
+    for (Membership.Entry entry : membership.entries()) {
+      if (!entry.run().equals(run())) {
+        expel(entry, now);
+      }
+    }
+  }
+
+  private void expel(Membership.Entry entry, Instant now) {
+    RunId run = entry.run();
+    Optional<Instant> endedAt = peers.endedAt(run);
+    boolean sameRegion = entry.member().region().equals(self.region());
+    if (endedAt.isPresent()) {
+      if (!endedAt.get().plus(rankDelay(run)).isAfter(now)) {
+        append(expulsion(run, ExpelReason.GONE), now);
+      }
+    } else if (sameRegion
+        && isActive()
+        && entry.standing() != MemberStanding.SUSPENDED
+        && peers.isSilent(run, settings.detection(), now)
+        && peers.isSilent(run, settings.detection().plus(rankDelay(run)), now)) {
+      append(expulsion(run, ExpelReason.UNREACHABLE), now);
+    }
+  }
+
+  private ControlRecord expulsion(RunId run, ExpelReason reason) {
+    return new ControlRecord.Expel(run.node(), run.boot(), self.node(), reason);
+  }
+
+  private Duration rankDelay(RunId subject) {
+    List<NodeName> able =
+        membership.entries().stream()
+            .filter(Membership.Entry::active)
+            .map(Membership.Entry::run)
+            .filter(run -> !run.equals(subject) && !peers.isEnded(run))
+            .map(RunId::node)
+            .toList();
+    int rank = Ownership.rank(subject.toString(), self.node(), able);
+    return DELAY_PER_RANK.multipliedBy(Math.min(rank, MAXIMUM_RANK));
+  }
+
+  private void append(ControlRecord record, Instant now) {
+    Instant last = appends.get(record);
+    if (last == null || !last.plus(settings.appendRetry()).isAfter(now)) {
+      appends.put(record, now);
+      actions.add(new MembershipAction.Append(record));
+    }
+  }
+
+  private boolean isPending(ControlRecord record) {
+    return switch (record) {
+      case ControlRecord.Expel expel ->
+          membership.find(new RunId(expel.node(), expel.boot())).isPresent();
+      case ControlRecord.Join join -> join.member().equals(self);
+      default -> true;
+    };
+  }
+
+  private boolean isLogUp(Instant now) {
+    return !logFailed && isFresh(logReadAt, settings.lease(), now);
+  }
+
+  private static boolean isFresh(Optional<Instant> at, Duration age, Instant now) {
+    return at.map(time -> time.plus(age).isAfter(now)).orElse(false);
+  }
+
+  private Optional<MemberStanding> standing() {
+    return own.map(Membership.Entry::standing);
+  }
+
+  private boolean isActive() {
+    return standing().equals(Optional.of(MemberStanding.ACTIVE));
+  }
+
+  private RunId run() {
+    return RunId.of(self);
+  }
+
+  /**
+   * Tells whether this node may grant permits of a shard now. The answer must be used at once.
+   *
+   * @param shard shard
+   * @return true while the node has taken the shard over and its lease is valid
+   */
+  public boolean mayGrant(ShardId shard) {
+    Instant now = clock.instant();
+    return !leaving && isActive() && tenures.isStarted(shard) && hasLease(shard, now);
+  }
+
+  /**
+   * Condition (b) is not enough for a shard of another region: the nodes that may take it over are
+   * members of that region, which need no acknowledgement from here when they join.
+   */
+  private boolean hasLease(ShardId shard, Instant now) {
+    Optional<Instant> readAt = PeerTable.later(logReadAt, peers.relayedReadAt());
+    return isFresh(readAt, settings.lease(), now)
+        || (shard.region().equals(self.region()) && isVouchedFor(now));
+  }
+
+  /**
+   * Joined members count as well: the log may have activated them without this node's knowledge.
+   */
+  private boolean isVouchedFor(Instant now) {
+    Instant limit = now.minus(settings.lease());
+    return membership.inRegion(self.region()).stream()
+        .filter(entry -> entry.standing() != MemberStanding.SUSPENDED)
+        .map(Membership.Entry::run)
+        .filter(run -> !run.equals(run()))
+        .allMatch(run -> peers.isEnded(run) || peers.vouchedSince(run, limit));
+  }
+
+  /**
+   * Returns what this node states in its answer to a ping.
+   *
+   * @return current statement
+   */
+  public PeerStatus status() {
+    Instant now = clock.instant();
+    Optional<Instant> readAt = PeerTable.later(logReadAt, peers.relayedReadAt());
+    OptionalLong age =
+        readAt.isPresent()
+            ? OptionalLong.of(Duration.between(readAt.get(), now).toMillis() + 1)
+            : OptionalLong.empty();
+    boolean settled = !leaving && tenures.isSettled();
+    return new PeerStatus(run(), nextOffset, age, settled, leaving);
+  }
+
+  /**
+   * Returns the description of the current run. It changes when the node comes back after it was
+   * removed from the view; the daemon then greets its peers with the new boot identity.
+   *
+   * @return current run
+   */
+  public Member self() {
+    return self;
+  }
+
+  /**
+   * Tells whether the shutdown may proceed.
+   *
+   * @return true if the node left the view and all handovers are acknowledged
+   */
+  public boolean hasLeft() {
+    return leaving && handovers.isEmpty() && own.isEmpty();
+  }
+
+  /**
+   * Returns the actions since the last call, in order.
+   *
+   * @return actions
+   */
+  public List<MembershipAction> drain() {
+    List<MembershipAction> drained = List.copyOf(actions);
+    actions.clear();
+    return drained;
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipSettings.java
@@ -0,0 +1,51 @@
+package org.cactusseam.logic.membership;
+
+import java.time.Duration;
+
+/**
+ * Times and bounds of membership and leases. All nodes of a deployment must use the same lease,
+ * permit validity and margin.
+ *
+ * @param lease F: how long a read of the log or an answered ping keeps a lease valid
+ * @param permitValidity how long a granted permit may be used
+ * @param driftMargin allowance for clocks that run at different rates
+ * @param detection silence after which a member may be expelled
+ * @param listLag greatest lag of the VM list behind the actual state
+ * @param pingInterval time between two pings to the same member
+ * @param appendRetry time after which an append whose record was not seen is repeated
+ * @param monitoredMembers number of responsive members that a node pings in a large region
+ * @param meshMembers members of a region up to which each node pings all others
+ */
+public record MembershipSettings(
+    Duration lease,
+    Duration permitValidity,
+    Duration driftMargin,
+    Duration detection,
+    Duration listLag,
+    Duration pingInterval,
+    Duration appendRetry,
+    int monitoredMembers,
+    int meshMembers) {
+
+  /** Settings of the design page. */
+  public static final MembershipSettings DEFAULT =
+      new MembershipSettings(
+          Duration.ofSeconds(3),
+          Duration.ofSeconds(1),
+          Duration.ofMillis(500),
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(30),
+          Duration.ofMillis(500),
+          Duration.ofSeconds(1),
+          3,
+          32);
+
+  /**
+   * Returns D: how long a successor waits after it read the record that made it the owner.
+   *
+   * @return lease, permit validity and margin together
+   */
+  public Duration takeoverWait() {
+    return lease.plus(permitValidity).plus(driftMargin);
+  }
+}
