--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
@@ -76,7 +76,7 @@
    * @return settings
    */
   public static AdmissionSettings zopfwerk() {
-    return preset(-0.05, 0.1);
+    return preset(-0.05, 0.1, 0.2);
   }
 
   /**
@@ -86,10 +86,11 @@
    * @return settings
    */
   public static AdmissionSettings flagline() {
-    return preset(0, 0.15);
+    return preset(0, 0.15, 0.4);
   }
 
-  private static AdmissionSettings preset(double headroom, double waitingMargin) {
+  private static AdmissionSettings preset(
+      double headroom, double waitingMargin, double affinityWeight) {
     return new AdmissionSettings(
         EnumSet.complementOf(EnumSet.of(Mechanism.UNLIMITED_DISPATCH)),
         ServerChoice.EXPECTED_LOAD,
@@ -104,7 +105,7 @@
         0,
         waitingMargin,
         0.5,
-        0.2,
+        affinityWeight,
         0.3,
         256,
         0.1,
@@ -152,6 +153,62 @@
         breakerFailures);
   }
 
+  /**
+   * Returns a copy with another headroom.
+   *
+   * @param newHeadroom part of engine memory that expected peaks leave free, below 1
+   * @return the copy
+   */
+  public AdmissionSettings withHeadroom(double newHeadroom) {
+    return new AdmissionSettings(
+        mechanisms,
+        choice,
+        newHeadroom,
+        rampFactor,
+        rampStepMillis,
+        silenceMillis,
+        reservedPart,
+        sameClassReservedPart,
+        borrowMillis,
+        borrowPart,
+        displacingRank,
+        waitingMargin,
+        deadlineServicePart,
+        affinityWeight,
+        prefillWeight,
+        accountQueueLimit,
+        retryPart,
+        breakerFailures);
+  }
+
+  /**
+   * Returns a copy that keeps another part of unused shares free.
+   *
+   * @param newReservedPart part of the unused shares of higher classes, 0 to 1
+   * @return the copy
+   */
+  public AdmissionSettings withReservedPart(double newReservedPart) {
+    return new AdmissionSettings(
+        mechanisms,
+        choice,
+        headroom,
+        rampFactor,
+        rampStepMillis,
+        silenceMillis,
+        newReservedPart,
+        sameClassReservedPart,
+        borrowMillis,
+        borrowPart,
+        displacingRank,
+        waitingMargin,
+        deadlineServicePart,
+        affinityWeight,
+        prefillWeight,
+        accountQueueLimit,
+        retryPart,
+        breakerFailures);
+  }
+
   /**
    * Returns a copy with one part turned off.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -460,7 +460,7 @@
         continue;
       }
       grant(attempt, server);
-      if (!anyRoom()) {
+      if (waiting.size() == 0 || !anyRoom()) {
         return false;
       }
       if (reserve) {
@@ -471,7 +471,7 @@
   }
 
   private boolean leavesEnough(Attempt attempt) {
-    double needed = attempt.request.promptTokens() + attempt.expectedTotal();
+    double needed = attempt.promptTokens + attempt.expectedTotal();
     return reservations.leavesEnough(attempt, needed, deadlines.runMillis(attempt));
   }
 
@@ -499,11 +499,12 @@
     attempt.permit = permit;
     attempt.grantedAt = clock.millis();
     attempt.progressAt = attempt.grantedAt;
+    attempt.estimate();
     attempt.charged = attempt.expectedTotal();
     attempt.ledger.charge(attempt.charged);
-    attempt.ledger.opened(attempt.request.promptTokens() + attempt.charged);
-    attempt.ledger.holds(attempt.request.promptTokens());
-    attempt.memoryCharged = attempt.request.promptTokens() + attempt.charged;
+    attempt.ledger.opened(attempt.promptTokens + attempt.charged);
+    attempt.ledger.holds(attempt.promptTokens);
+    attempt.memoryCharged = attempt.promptTokens + attempt.charged;
     server.open(attempt, attempt.grantedAt);
     open++;
   }
@@ -519,6 +520,7 @@
     }
     attempt.ledger.holds(tokens - attempt.tokens);
     attempt.tokens = tokens;
+    attempt.estimate();
     attempt.progressAt = now;
     if (tokens > attempt.charged) {
       attempt.ledger.charge(tokens - attempt.charged);
@@ -543,7 +545,7 @@
     attempts.remove(attempt.request.id());
     attempt.ledger.charge(attempt.tokens - attempt.charged);
     attempt.ledger.closed(attempt.memoryCharged);
-    attempt.ledger.holds(-attempt.request.promptTokens() - attempt.tokens);
+    attempt.ledger.holds(-attempt.promptTokens - attempt.tokens);
     ServerState server = attempt.server;
     if (server != null) {
       server.close(attempt);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
@@ -11,6 +11,7 @@
   final AccountLedger ledger;
   final OutputLengths.Source lengths;
   final int rank;
+  final int promptTokens;
   final boolean mayWait;
   final long arrivedAt;
   final long deadline;
@@ -24,6 +25,7 @@
   boolean confirmed;
   long tokens;
   long progressAt;
+  private double expectedTotal;
   double charged;
   double memoryCharged;
 
@@ -45,15 +47,25 @@
     this.ledger = ledger;
     this.lengths = lengths;
     this.rank = rank;
+    this.promptTokens = request.promptTokens();
     this.mayWait = mayWait;
     this.arrivedAt = now;
     this.deadline = now + request.patienceMillis();
     this.sequence = sequence;
     this.askedAt = now;
+    estimate();
   }
 
-  /** Returns the expected output in tokens, given what was generated so far. */
+  /** Returns the expected output in tokens, as of the last {@link #estimate}. */
   double expectedTotal() {
-    return lengths.expectedTotal(tokens, request.maximumTokens());
+    return expectedTotal;
+  }
+
+  /**
+   * Estimates the output again, given what was generated so far. The result is kept, because a
+   * forecast reads it for each open attempt of a server.
+   */
+  void estimate() {
+    expectedTotal = lengths.expectedTotal(tokens, request.maximumTokens());
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -128,7 +128,7 @@
     if (attempt.rank > settings.displacingRank() || !settings.uses(Mechanism.PURCHASED_SHARES)) {
       return false;
     }
-    double peak = server.firmPeakWith(attempt.request.promptTokens(), 0);
+    double peak = server.firmPeakWith(attempt.promptTokens, 0);
     return attempt.withinShare && peak <= server.memoryLimit();
   }
 
@@ -139,7 +139,7 @@
     if (!engine || !settings.uses(Mechanism.MEMORY_ESTIMATE) || server.open() == 0) {
       return slots;
     }
-    double peak = server.peakWith(attempt.request.promptTokens(), attempt.expectedTotal());
+    double peak = server.peakWith(attempt.promptTokens, attempt.expectedTotal());
     boolean yields = attempt.mayWait && settings.uses(Mechanism.WAITING_YIELDS);
     double margin = yields ? 1 - settings.waitingMargin() : 1;
     double memory = peak / (server.memoryLimit() * margin);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
@@ -40,6 +40,7 @@
   private long lastHeard;
   private long ignoreWarmUntil;
   private boolean forecastStale;
+  private double peak;
   private int recentPromptTokens;
   private long recentSince;
   private @Nullable LoadReport reported;
@@ -137,7 +138,7 @@
 
   /** Adds a granted attempt to the confirmation window. */
   void open(Attempt attempt, long now) {
-    recentPromptTokens = (int) recentPromptTokens(now) + attempt.request.promptTokens();
+    recentPromptTokens = (int) recentPromptTokens(now) + attempt.promptTokens;
     recentSince = now;
     if (attempts.isEmpty()) {
       lastHeard = Math.max(lastHeard, now);
@@ -214,7 +215,8 @@
 
   /** Returns the expected peak of engine memory, in tokens. */
   double peak() {
-    return peakWith(0, 0);
+    refreshForecast();
+    return peak;
   }
 
   /** Returns the load in the last report as a part of the capacity; 0 if none came yet. */
@@ -239,7 +241,7 @@
     firmForecast.clear();
     for (Attempt attempt : attempts) {
       double expected = attempt.expectedTotal();
-      double held = attempt.request.promptTokens() + attempt.tokens;
+      double held = attempt.promptTokens + attempt.tokens;
       forecast.add(held, expected - attempt.tokens);
       if (attempt.rank <= settings.displacingRank()) {
         firmForecast.add(held, expected - attempt.tokens);
@@ -247,6 +249,7 @@
     }
     forecast.sort();
     firmForecast.sort();
+    peak = forecast.peakWith(0, 0);
     forecastStale = false;
   }
 
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
@@ -9,7 +9,6 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 import java.util.List;
@@ -172,32 +171,45 @@
     assertThat(plain.grants().getFirst().id(), is(other.id()));
   }
 
-  @Test
-  void a_bought_share_is_free_at_once_after_long_disuse() {
-    fixture.server("zopf-1", 10, 100, 10_000_000).warm();
-    int granted = 0;
-    for (int round = 0; round < 12; round++) {
-      List<Permit> permits = fixture.askMany("standard", 10);
-      permits.forEach(permit -> shard.confirmed(permit.id(), WARM));
-      granted += permits.size() + fixture.grants().size();
-    }
-    assertThat(granted, is(lessThan(70)));
+  @ParameterizedTest(name = "reserved part {0}: premium gets {1} of 10")
+  @CsvSource({"1, 10", "0, 0"})
+  void a_bought_share_is_free_at_once_after_long_disuse(double reserved, int expected) {
+    ShardFixture full = new ShardFixture(AdmissionSettings.zopfwerk().withReservedPart(reserved));
+    full.server("zopf-1", 10, 100, 10_000_000).warm();
+    fill(full, "standard", 110);
 
-    assertThat(fixture.askMany("premium", 10), hasSize(10));
+    assertThat(full.askMany("premium", 10), hasSize(expected));
   }
 
-  @Test
-  void expected_peak_memory_bounds_what_runs() {
-    fixture.server("zopf-1", 10, 100, 10_000).warm();
-
+  /** Asks for permits and confirms each; returns how many were granted. */
+  private static int fill(ShardFixture fixture, String account, int requests) {
     int granted = 0;
-    for (int round = 0; round < 30; round++) {
-      List<Permit> permits = fixture.askMany("premium", 1);
-      permits.forEach(permit -> shard.confirmed(permit.id(), WARM));
+    for (int request = 0; request < requests; request++) {
+      List<Permit> permits = fixture.askMany(account, 1);
+      permits.forEach(permit -> fixture.shard.confirmed(permit.id(), WARM));
       granted += permits.size();
     }
+    return granted;
+  }
+
+  @ParameterizedTest(name = "{0} gets {1} of 5 permits while a lower class fills the memory")
+  @CsvSource({"premium, 5", "standard, 0"})
+  void a_returning_account_displaces_lower_classes_within_its_share(String account, int expected) {
+    ShardFixture full = new ShardFixture(AdmissionSettings.zopfwerk().withReservedPart(0));
+    full.server("zopf-1", 5, 100, 10_000).warm();
+    fill(full, "other", 60);
+
+    assertThat(full.askMany(account, 5), hasSize(expected));
+  }
+
+  @ParameterizedTest(name = "headroom {0}: {1} attempts of (100 + 256) tokens in 10,000")
+  @CsvSource({"0.15, 23", "0, 28", "-0.1, 30"})
+  void expected_peak_memory_bounds_what_runs(double headroom, int expected) {
+    ShardFixture bounded =
+        new ShardFixture(AdmissionSettings.zopfwerk().withReservedPart(0).withHeadroom(headroom));
+    bounded.server("zopf-1", 10, 100, 10_000).warm();
 
-    assertThat("(100 + 256) tokens each in 8,500", granted, is(23));
+    assertThat(fill(bounded, "other", 40), is(expected));
   }
 
   @Test
