--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
@@ -86,7 +86,7 @@
    * @return settings
    */
   public static AdmissionSettings flagline() {
-    return preset(0, 0.15, 0.4);
+    return preset(0, 0.05, 0.4);
   }
 
   private static AdmissionSettings preset(
