Add the execution of orders to backend servers

Cause: orders to load weights or change roles have to reach a server once, across lost answers, takeovers and paused owners, at the rate of the weight store.

Change: OrderRecord (Issued, Started, Ended) as one more kind of ControlRecord, folded into OrderBook by ControlState.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
@@ -3,9 +3,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.control.ControlRecord;
+import org.cactusseam.model.control.OrderRecord;
 
 /**
  * State machine over the control log. It is deterministic: nodes that applied the same records hold
@@ -19,6 +21,7 @@
   private final Map<String, Verdict> commands = new HashMap<>();
   private Configuration configuration = Configuration.EMPTY;
   private Membership membership = Membership.EMPTY;
+  private OrderBook orders = OrderBook.EMPTY;
   private long nextOffset;
 
   /**
@@ -39,9 +42,23 @@
       case ControlRecord.Activate activate -> applyActivate(activate);
       case ControlRecord.Leave leave -> applyRemoval(leave.node(), leave.boot());
       case ControlRecord.Expel expel -> applyRemoval(expel.node(), expel.boot());
+      case OrderRecord order -> applyOrder(offset, order);
     };
   }
 
+  private Verdict applyOrder(long offset, OrderRecord order) {
+    if (order instanceof OrderRecord.Issued issued && commands.containsKey(issued.commandId())) {
+      return Verdict.DUPLICATE;
+    }
+    Optional<OrderBook> next = orders.apply(offset, order);
+    Verdict verdict = next.isPresent() ? Verdict.ACCEPTED : Verdict.INVALID;
+    if (order instanceof OrderRecord.Issued issued) {
+      commands.put(issued.commandId(), verdict);
+    }
+    orders = next.orElse(orders);
+    return verdict;
+  }
+
   private Verdict applyChange(long offset, ControlRecord.Change change) {
     if (commands.containsKey(change.commandId())) {
       return Verdict.DUPLICATE;
@@ -127,6 +144,15 @@
     return membership;
   }
 
+  /**
+   * Returns the orders to backend servers.
+   *
+   * @return immutable view
+   */
+  public OrderBook orders() {
+    return orders;
+  }
+
   /**
    * Returns the offset of the next record to apply.
    *
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderBook.java
@@ -0,0 +1,141 @@
+package org.cactusseam.logic.orders;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.control.OrderOutcome;
+import org.cactusseam.model.control.OrderRecord;
+import org.cactusseam.model.control.ServerOrder;
+
+/**
+ * Immutable view of the orders that the control log holds. Nodes that applied the same records hold
+ * the same view.
+ *
+ * @param entries orders by offset
+ */
+public record OrderBook(List<Entry> entries) {
+
+  /** View without orders. */
+  public static final OrderBook EMPTY = new OrderBook(List.of());
+
+  /** Bound on the orders kept; the oldest that are over are forgotten first. */
+  public static final int MAXIMUM_ENTRIES = 1_000;
+
+  /**
+   * An order.
+   *
+   * @param offset log offset, which is also its fencing number
+   * @param commandId identity of the operator's command
+   * @param server backend server
+   * @param order what the server shall do
+   * @param start last announcement that it is sent
+   * @param outcome how it ended
+   */
+  public record Entry(
+      long offset,
+      String commandId,
+      BackendServerName server,
+      ServerOrder order,
+      Optional<Start> start,
+      Optional<OrderOutcome> outcome) {
+
+    Entry withStart(Start newStart) {
+      return new Entry(offset, commandId, server, order, Optional.of(newStart), outcome);
+    }
+
+    Entry withOutcome(OrderOutcome newOutcome) {
+      return new Entry(offset, commandId, server, order, start, Optional.of(newOutcome));
+    }
+  }
+
+  /**
+   * Announcement that an order is sent.
+   *
+   * @param by owner
+   * @param boot identity of the owner's run
+   * @param attempt number of the send within the run
+   */
+  public record Start(NodeName by, String boot, long attempt) {}
+
+  /** Copies the list. */
+  public OrderBook {
+    entries = List.copyOf(entries);
+  }
+
+  /**
+   * Applies a record.
+   *
+   * @param offset log offset of the record
+   * @param orderRecord record
+   * @return the next view, or empty if the record is rejected: it names no open order, or too many
+   *     orders are open
+   */
+  public Optional<OrderBook> apply(long offset, OrderRecord orderRecord) {
+    return switch (orderRecord) {
+      case OrderRecord.Issued issued -> issue(offset, issued);
+      case OrderRecord.Started started -> {
+        Start start = new Start(started.by(), started.boot(), started.attempt());
+        yield findOpen(started.order()).map(entry -> replace(entry.withStart(start)));
+      }
+      case OrderRecord.Ended ended ->
+          findOpen(ended.order()).map(entry -> replace(entry.withOutcome(ended.outcome())));
+    };
+  }
+
+  private Optional<OrderBook> issue(long offset, OrderRecord.Issued issued) {
+    List<Entry> copy = new ArrayList<>(entries);
+    if (copy.size() >= MAXIMUM_ENTRIES) {
+      Optional<Entry> oldest =
+          copy.stream().filter(entry -> entry.outcome().isPresent()).findFirst();
+      if (oldest.isEmpty()) {
+        return Optional.empty();
+      }
+      copy.remove(oldest.get());
+    }
+    copy.add(
+        new Entry(
+            offset,
+            issued.commandId(),
+            issued.server(),
+            issued.order(),
+            Optional.empty(),
+            Optional.empty()));
+    return Optional.of(new OrderBook(copy));
+  }
+
+  private OrderBook replace(Entry changed) {
+    return new OrderBook(
+        entries.stream()
+            .map(entry -> entry.offset() == changed.offset() ? changed : entry)
+            .toList());
+  }
+
+  private Optional<Entry> findOpen(long offset) {
+    return find(offset).filter(entry -> entry.outcome().isEmpty());
+  }
+
+  /**
+   * Looks up an order.
+   *
+   * @param offset log offset of the order
+   * @return the order, or empty if it does not exist or was forgotten
+   */
+  public Optional<Entry> find(long offset) {
+    return entries.stream().filter(entry -> entry.offset() == offset).findFirst();
+  }
+
+  /**
+   * Returns the order that a backend server has to execute next. Orders to one server run one after
+   * the other in log order, so that their fencing numbers ascend.
+   *
+   * @param server backend server
+   * @return its oldest open order
+   */
+  public Optional<Entry> next(BackendServerName server) {
+    return entries.stream()
+        .filter(entry -> entry.server().equals(server) && entry.outcome().isEmpty())
+        .findFirst();
+  }
+}
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
@@ -14,9 +14,16 @@
   @JsonSubTypes.Type(value = ControlRecord.Join.class, name = "join"),
   @JsonSubTypes.Type(value = ControlRecord.Activate.class, name = "activate"),
   @JsonSubTypes.Type(value = ControlRecord.Leave.class, name = "leave"),
-  @JsonSubTypes.Type(value = ControlRecord.Expel.class, name = "expel")
+  @JsonSubTypes.Type(value = ControlRecord.Expel.class, name = "expel"),
+  @JsonSubTypes.Type(value = OrderRecord.class)
 })
-public sealed interface ControlRecord {
+public sealed interface ControlRecord
+    permits ControlRecord.Change,
+        ControlRecord.Join,
+        ControlRecord.Activate,
+        ControlRecord.Leave,
+        ControlRecord.Expel,
+        OrderRecord {
 
   /** Revision of an object that does not exist. */
   long ABSENT_REVISION = -1;
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderExecutorTest.java
@@ -0,0 +1,212 @@
+package org.cactusseam.logic.orders;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import org.cactusseam.logic.control.ControlState;
+import org.cactusseam.logic.control.Verdict;
+import org.cactusseam.logic.orders.OrderFleet.Fault;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.control.ControlRecord;
+import org.cactusseam.model.control.OrderOutcome;
+import org.cactusseam.model.control.OrderRecord;
+import org.cactusseam.model.control.ServerOrder;
+import org.cactusseam.testing.PausedClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against orders that run twice, never run, or overload the weight store. */
+class OrderExecutorTest {
+
+  private static final int SEEDS = 15;
+  private static final int ORDERS = 3;
+  private static final BackendServerName SERVER = new BackendServerName("engine");
+
+  @ParameterizedTest
+  @EnumSource(Fault.class)
+  void an_order_runs_once_and_ends_with_each_second_fault(Fault first) {
+    int effects = 0;
+    for (Fault second : Fault.values()) {
+      for (int seed = 0; seed < SEEDS; seed++) {
+        for (boolean checks : List.of(true, false)) {
+          String name = first + " + " + second + ", seed " + seed + ", fencing " + checks;
+          OrderFleet fleet = new OrderFleet(EnumSet.of(first, second), checks, seed);
+          for (int order = 0; order < ORDERS; order++) {
+            fleet.issue(order);
+            fleet.run(Duration.ofSeconds(8));
+          }
+          fleet.heal();
+          fleet.run(Duration.ofMinutes(2));
+          assertThat(name, fleet.violations, is(empty()));
+          assertThat(name + fleet.book, fleet.isAllEnded(), is(true));
+          assertThat(name, fleet.isDoneTrue(), is(true));
+          assertRateIsKept(name, fleet.sends);
+          effects += fleet.effects.size();
+        }
+      }
+    }
+    assertThat(effects, is(greaterThan(SEEDS * ORDERS)));
+  }
+
+  /** The time between a token and its send varies by the validity of the token. */
+  private static void assertRateIsKept(String name, List<Instant> sends) {
+    for (int index = 3; index < sends.size(); index++) {
+      Duration window = Duration.between(sends.get(index - 3), sends.get(index));
+      Duration least = OrderFleet.INTERVAL.multipliedBy(3).minusSeconds(6);
+      assertThat(name + sends, window.compareTo(least) >= 0, is(true));
+    }
+  }
+
+  private final PausedClock clock = new PausedClock(Instant.parse("2026-03-01T10:00:00Z"));
+  private final NodeName node = new NodeName("vm0");
+  private final OrderExecutor executor = new OrderExecutor(node, "boot", clock);
+  private final ServerOrder load = new ServerOrder(ServerOrder.Kind.LOAD_MODEL, "large");
+  private OrderBook book =
+      OrderBook.EMPTY.apply(7, new OrderRecord.Issued("c", SERVER, load, "operator")).orElseThrow();
+
+  private void apply(OrderRecord orderRecord) {
+    book = book.apply(8, orderRecord).orElseThrow();
+    executor.ordersChanged(book);
+  }
+
+  private void reachSend() {
+    executor.ordersChanged(book);
+    executor.own(SERVER, false);
+    executor.stateRead(7, clock.instant(), "run", OrderState.ABSENT);
+    executor.tokenGranted(7);
+    apply(new OrderRecord.Started(7, node, "boot", 1));
+  }
+
+  @Test
+  void the_state_is_read_before_anything_else() {
+    executor.ordersChanged(book);
+    executor.own(SERVER, false);
+    assertThat(executor.drain(), contains(new OrderAction.ReadState(SERVER, 7, load)));
+
+    executor.stateRead(7, clock.instant(), "run", OrderState.DONE);
+
+    assertThat(
+        executor.drain(),
+        contains(new OrderAction.Append(new OrderRecord.Ended(7, OrderOutcome.DONE))));
+  }
+
+  @ParameterizedTest(name = "paused {0} ms, lease {1}: {2}")
+  @CsvSource({"0, true, true", "999, true, true", "1000, true, false", "0, false, false"})
+  void a_paused_owner_does_not_send(long paused, boolean lease, boolean expected) {
+    reachSend();
+    clock.advance(Duration.ofMillis(paused));
+
+    assertThat(executor.begin(7, lease), is(expected));
+    assertThat(executor.begin(7, lease), is(false));
+  }
+
+  @ParameterizedTest(name = "fencing {0}, asked {1} ms after the loss: sent again {2}")
+  @CsvSource({"false, 100, false", "false, 4999, false", "false, 5000, true", "true, 100, true"})
+  void an_order_is_sent_again_only_when_an_earlier_send_cannot_arrive(
+      boolean fencing, long millis, boolean expected) {
+    reachSend();
+    executor.own(SERVER, fencing);
+    executor.begin(7, true);
+    executor.answerLost(7);
+    executor.drain();
+    clock.advance(Duration.ofMillis(millis));
+    Instant askedAt = clock.instant();
+    clock.advance(Duration.ofSeconds(10));
+
+    executor.stateRead(7, askedAt, "run", OrderState.ABSENT);
+
+    boolean asks = executor.drain().stream().anyMatch(OrderAction.AskToken.class::isInstance);
+    assertThat(asks, is(expected));
+  }
+
+  @ParameterizedTest(name = "token after {0} ms: announced {1}")
+  @CsvSource({"4999, true", "5000, false"})
+  void a_late_token_does_not_lead_to_a_send(long millis, boolean expected) {
+    executor.ordersChanged(book);
+    executor.own(SERVER, false);
+    executor.stateRead(7, clock.instant(), "run", OrderState.ABSENT);
+    executor.drain();
+    clock.advance(Duration.ofMillis(millis));
+
+    executor.tokenGranted(7);
+
+    boolean announced = executor.drain().stream().anyMatch(OrderAction.Append.class::isInstance);
+    assertThat(announced, is(expected));
+  }
+
+  @Test
+  void a_restart_of_the_server_after_it_accepted_leads_to_another_send() {
+    reachSend();
+    executor.begin(7, true);
+    executor.answered(7, OrderAnswer.ACCEPTED);
+    executor.drain();
+    executor.stateRead(7, clock.instant(), "run", OrderState.ABSENT);
+    assertThat(
+        executor.drain().stream().noneMatch(OrderAction.AskToken.class::isInstance), is(true));
+
+    executor.stateRead(7, clock.instant(), "next run", OrderState.ABSENT);
+
+    assertThat(executor.drain(), contains(instanceOf(OrderAction.AskToken.class)));
+  }
+
+  @Test
+  void an_order_without_result_ends_as_failed() {
+    executor.ordersChanged(book);
+    executor.own(SERVER, false);
+    clock.advance(Duration.ofMinutes(30));
+    executor.drain();
+
+    executor.tick();
+
+    assertThat(
+        executor.drain(),
+        contains(new OrderAction.Append(new OrderRecord.Ended(7, OrderOutcome.FAILED))));
+  }
+
+  @Test
+  void a_new_holder_of_the_bucket_grants_nothing_during_its_first_interval() {
+    StoreRateLimiter limiter = new StoreRateLimiter(clock, Duration.ofSeconds(3));
+    limiter.ask(1);
+    limiter.hold(true);
+    limiter.ask(2);
+    limiter.ask(3);
+    assertThat(limiter.grant(), is(empty()));
+
+    clock.advance(Duration.ofSeconds(3));
+    assertThat(limiter.grant(), contains(2L));
+    assertThat(limiter.grant(), is(empty()));
+    clock.advance(Duration.ofHours(1));
+    assertThat(limiter.grant(), contains(3L));
+    limiter.ask(4);
+    assertThat(limiter.grant(), is(empty()));
+  }
+
+  @Test
+  void the_control_log_carries_orders_and_rejects_repeats() throws Exception {
+    ObjectMapper mapper = new ObjectMapper();
+    ControlRecord issued = new OrderRecord.Issued("c", SERVER, load, "operator");
+    String json = mapper.writeValueAsString(issued);
+    assertThat(mapper.readValue(json, ControlRecord.class), is(issued));
+    ControlState state = new ControlState();
+
+    assertThat(state.apply(7, issued), is(Verdict.ACCEPTED));
+    assertThat(state.apply(8, issued), is(Verdict.DUPLICATE));
+    assertThat(state.apply(9, new OrderRecord.Ended(7, OrderOutcome.DONE)), is(Verdict.ACCEPTED));
+    assertThat(state.apply(10, new OrderRecord.Ended(7, OrderOutcome.FAILED)), is(Verdict.INVALID));
+    assertThat(state.orders().find(7).orElseThrow().outcome(), is(Optional.of(OrderOutcome.DONE)));
+    assertThat(state.orders().next(SERVER).isPresent(), is(false));
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderFleet.java
@@ -0,0 +1,289 @@
+package org.cactusseam.logic.orders;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.control.OrderOutcome;
+import org.cactusseam.model.control.OrderRecord;
+import org.cactusseam.model.control.ServerOrder;
+import org.cactusseam.testing.PausedClock;
+
+/** Two owners, one backend server and one log, with the faults of a case. */
+final class OrderFleet {
+
+  enum Fault {
+    NONE,
+    LOST_ANSWER,
+    LOST_ORDER,
+    DELAYED_ORDER,
+    SERVER_REFUSES,
+    SERVER_RESTARTS,
+    LOST_APPEND,
+    LATE_APPEND,
+    LOG_OUTAGE,
+    TOKEN_LOST,
+    OWNER_KILLED,
+    OWNER_PAUSED_BEFORE_SEND,
+    TAKEOVER
+  }
+
+  static final Duration INTERVAL = Duration.ofSeconds(3);
+  private static final Duration STEP = Duration.ofMillis(50);
+  private static final Duration TAKEOVER_WAIT = Duration.ofMillis(4_500);
+  private static final BackendServerName SERVER = new BackendServerName("engine");
+
+  private record Event(Instant at, int owner, Runnable effect) {}
+
+  final PausedClock clock = new PausedClock(Instant.parse("2026-03-01T10:00:00Z"));
+  final List<String> violations = new ArrayList<>();
+  final Map<Long, Integer> effects = new HashMap<>();
+  final List<Instant> sends = new ArrayList<>();
+  OrderBook book = OrderBook.EMPTY;
+  private final Set<Fault> faults;
+  private final Random random;
+  private final boolean checksFencing;
+  private final List<Event> events = new ArrayList<>();
+  private final Set<Fault> spent = new HashSet<>();
+  private final Map<Long, Instant> doneAt = new HashMap<>();
+  private final OrderExecutor[] executors = new OrderExecutor[2];
+  private final Instant[] pausedUntil = {Instant.MIN, Instant.MIN};
+  private final StoreRateLimiter limiter = new StoreRateLimiter(clock, INTERVAL);
+  private long highestNumber = -1;
+  private long nextOffset;
+  private int incarnation;
+  private int owner;
+  private int boots;
+  private boolean logUp = true;
+  private Instant leaseEnd = Instant.MAX;
+
+  OrderFleet(Set<Fault> faults, boolean checksFencing, long seed) {
+    this.faults = new HashSet<>(faults);
+    this.checksFencing = checksFencing;
+    this.random = new Random(seed * 0x9E3779B97F4A7C15L);
+    limiter.hold(true);
+    restart(0);
+    restart(1);
+    executors[0].own(SERVER, checksFencing);
+  }
+
+  private void restart(int index) {
+    String boot = "boot" + ++boots;
+    executors[index] = new OrderExecutor(new NodeName("vm" + index), boot, clock);
+    events.removeIf(event -> event.owner == index);
+  }
+
+  void issue(int number) {
+    ServerOrder order = new ServerOrder(ServerOrder.Kind.LOAD_MODEL, "model" + number);
+    apply(new OrderRecord.Issued("command" + number, SERVER, order, "operator"));
+  }
+
+  private void apply(OrderRecord orderRecord) {
+    book = book.apply(nextOffset++, orderRecord).orElse(book);
+    for (int index = 0; index < 2; index++) {
+      OrderExecutor executor = executors[index];
+      after(index, random.nextInt(100), () -> executor.ordersChanged(book));
+    }
+  }
+
+  private void after(int index, int millis, Runnable effect) {
+    events.add(new Event(clock.instant().plusMillis(millis), index, effect));
+  }
+
+  private boolean strikes(Fault fault) {
+    return faults.contains(fault) && random.nextInt(2) == 0 && spent.add(fault);
+  }
+
+  private boolean hits(Fault fault) {
+    return faults.contains(fault) && random.nextInt(2) == 0;
+  }
+
+  void run(Duration duration) {
+    Instant end = clock.instant().plus(duration);
+    while (clock.instant().isBefore(end)) {
+      step();
+    }
+  }
+
+  private void step() {
+    clock.advance(STEP);
+    Instant now = clock.instant();
+    logUp = !faults.contains(Fault.LOG_OUTAGE) || (now.getEpochSecond() / 7) % 2 == 0;
+    if (random.nextInt(100) == 0 && strikes(Fault.SERVER_RESTARTS)) {
+      incarnation++;
+      doneAt.clear();
+    }
+    if (random.nextInt(100) == 0 && strikes(Fault.TAKEOVER)) {
+      takeOver();
+    }
+    List<Event> due = events.stream().filter(event -> isDue(event, now)).toList();
+    events.removeAll(due);
+    due.forEach(event -> event.effect.run());
+    grantTokens();
+    for (int index = 0; index < 2; index++) {
+      if (!now.isBefore(pausedUntil[index])) {
+        executors[index].tick();
+        perform(index);
+      }
+    }
+  }
+
+  private boolean isDue(Event event, Instant now) {
+    boolean paused = event.owner >= 0 && now.isBefore(pausedUntil[event.owner]);
+    return !paused && !event.at.isAfter(now);
+  }
+
+  /** The other node becomes the owner when the lease of the present one is over. */
+  private void takeOver() {
+    int former = owner;
+    int next = 1 - owner;
+    leaseEnd = clock.instant().plus(TAKEOVER_WAIT).minusMillis(500);
+    OrderExecutor old = executors[former];
+    after(former, (int) TAKEOVER_WAIT.minusMillis(500).toMillis(), () -> old.disown(SERVER));
+    after(-1, (int) TAKEOVER_WAIT.toMillis(), () -> become(next));
+  }
+
+  private void become(int next) {
+    owner = next;
+    leaseEnd = Instant.MAX;
+    executors[next].ordersChanged(book);
+    executors[next].own(SERVER, checksFencing);
+  }
+
+  private void grantTokens() {
+    for (long order : limiter.grant()) {
+      if (!hits(Fault.TOKEN_LOST)) {
+        OrderExecutor executor = executors[owner];
+        after(owner, 50, () -> executor.tokenGranted(order));
+      }
+    }
+  }
+
+  private void perform(int index) {
+    OrderExecutor executor = executors[index];
+    for (OrderAction action : executor.drain()) {
+      switch (action) {
+        case OrderAction.ReadState read -> readState(index, executor, read);
+        case OrderAction.AskToken ask -> limiter.ask(ask.order());
+        case OrderAction.Append append -> append(append.orderRecord());
+        case OrderAction.Send send -> send(index, executor, send);
+      }
+    }
+  }
+
+  private void readState(int index, OrderExecutor executor, OrderAction.ReadState read) {
+    Instant askedAt = clock.instant();
+    after(
+        index,
+        50,
+        () -> executor.stateRead(read.order(), askedAt, "run" + incarnation, state(read.order())));
+  }
+
+  private OrderState state(long order) {
+    Instant done = doneAt.get(order);
+    if (done == null) {
+      return OrderState.ABSENT;
+    }
+    return clock.instant().isBefore(done) ? OrderState.IN_PROGRESS : OrderState.DONE;
+  }
+
+  private void append(OrderRecord orderRecord) {
+    if (!logUp || hits(Fault.LOST_APPEND)) {
+      return;
+    }
+    int delay = hits(Fault.LATE_APPEND) ? 500 + random.nextInt(8000) : 20;
+    after(-1, delay, () -> apply(orderRecord));
+  }
+
+  private void send(int index, OrderExecutor executor, OrderAction.Send send) {
+    if (strikes(Fault.OWNER_KILLED)) {
+      restart(index);
+      takeOver();
+      return;
+    }
+    if (strikes(Fault.OWNER_PAUSED_BEFORE_SEND)) {
+      pausedUntil[index] = clock.instant().plusMillis(500 + random.nextInt(9000));
+      takeOver();
+    }
+    after(index, random.nextInt(60), () -> begin(index, executor, send));
+  }
+
+  private void begin(int index, OrderExecutor executor, OrderAction.Send send) {
+    boolean leaseValid = index == owner && clock.instant().isBefore(leaseEnd);
+    if (!executor.begin(send.order(), leaseValid)) {
+      return;
+    }
+    check(!clock.instant().isAfter(send.until()), "sent late");
+    check(book.find(send.order()).orElseThrow().start().isPresent(), "sent without a record");
+    sends.add(clock.instant());
+    if (hits(Fault.LOST_ORDER)) {
+      after(index, 1000, () -> executor.answerLost(send.order()));
+      return;
+    }
+    boolean delayed = hits(Fault.DELAYED_ORDER);
+    String target = "run" + incarnation;
+    int delay = delayed ? 1000 + random.nextInt(3500) : 10;
+    after(-1, delay, () -> receive(index, executor, send.order(), target));
+  }
+
+  private void receive(int index, OrderExecutor executor, long order, String target) {
+    if (!target.equals("run" + incarnation)) {
+      after(index, 10, () -> executor.answerLost(order));
+      return;
+    }
+    OrderAnswer answer = serve(order);
+    if (hits(Fault.LOST_ANSWER)) {
+      after(index, 1000, () -> executor.answerLost(order));
+    } else {
+      after(index, 10, () -> executor.answered(order, answer));
+    }
+    if (strikes(Fault.OWNER_KILLED)) {
+      restart(index);
+      takeOver();
+    }
+  }
+
+  private OrderAnswer serve(long order) {
+    if (faults.contains(Fault.SERVER_REFUSES)) {
+      return OrderAnswer.REFUSED;
+    }
+    if (checksFencing && order < highestNumber) {
+      return OrderAnswer.STALE_NUMBER;
+    }
+    if (checksFencing && order == highestNumber && doneAt.containsKey(order)) {
+      return OrderAnswer.ACCEPTED;
+    }
+    highestNumber = order;
+    check(!doneAt.containsKey(order), "executed twice by one run of the server: " + order);
+    doneAt.put(order, clock.instant().plusSeconds(2));
+    effects.merge(order, 1, Integer::sum);
+    return OrderAnswer.ACCEPTED;
+  }
+
+  private void check(boolean holds, String violation) {
+    if (!holds) {
+      violations.add(violation);
+    }
+  }
+
+  void heal() {
+    faults.clear();
+  }
+
+  boolean isAllEnded() {
+    return book.entries().stream().allMatch(entry -> entry.outcome().isPresent());
+  }
+
+  boolean isDoneTrue() {
+    return book.entries().stream()
+        .filter(entry -> entry.outcome().equals(java.util.Optional.of(OrderOutcome.DONE)))
+        .allMatch(entry -> effects.containsKey(entry.offset()));
+  }
+}
