--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.ToIntFunction;
 import org.cactusseam.logic.membership.ShardMap;
+import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ObjectKey;
@@ -19,6 +20,7 @@
 import org.cactusseam.model.control.ExpelReason;
 import org.cactusseam.model.control.Member;
 import org.cactusseam.model.control.MemberStanding;
+import org.cactusseam.model.control.OrderRecord;
 import org.cactusseam.model.control.RunId;
 import org.cactusseam.model.control.SnapshotEntry;
 
@@ -58,6 +60,7 @@
   private Configuration configuration = Configuration.EMPTY;
   private Membership membership = Membership.EMPTY;
   private ShardOwners owners = ShardOwners.EMPTY;
+  private OrderBook orders = OrderBook.EMPTY;
   private long nextOffset;
   private long logTimeMillis;
 
@@ -108,9 +111,23 @@
       case ControlRecord.Leave leave -> applyLeave(offset, leave);
       case ControlRecord.Expel expel -> applyExpel(offset, expel);
       case ControlRecord.Snapshot snapshot -> Verdict.ACCEPTED;
+      case OrderRecord order -> applyOrder(offset, order);
     };
   }
 
+  private Verdict applyOrder(long offset, OrderRecord order) {
+    if (order instanceof OrderRecord.Issued issued && commands.containsKey(issued.commandId())) {
+      return Verdict.DUPLICATE;
+    }
+    Optional<OrderBook> next = orders.apply(offset, order);
+    Verdict verdict = next.isPresent() ? Verdict.ACCEPTED : Verdict.INVALID;
+    if (order instanceof OrderRecord.Issued issued) {
+      commands.put(issued.commandId(), new Command(offset, logTimeMillis, verdict));
+    }
+    orders = next.orElse(orders);
+    return verdict;
+  }
+
   /** Entries are in the order of their times, so the expired ones come first. */
   private void expire() {
     long commandLimit = logTimeMillis - retentionMillis;
@@ -325,6 +342,15 @@
         .or(() -> Optional.ofNullable(ended.get(node)).map(Ended::boot));
   }
 
+  /**
+   * Returns the orders to backend servers.
+   *
+   * @return immutable view
+   */
+  public OrderBook orders() {
+    return orders;
+  }
+
   /**
    * Returns the owner and epoch of every shard.
    *
@@ -371,7 +397,7 @@
    */
   public List<ControlRecord.Snapshot> snapshot(ToIntFunction<SnapshotEntry> encodedBytes) {
     List<SnapshotEntry> entries =
-        SnapshotEntries.of(configuration, membership, owners, commands, tombstones, ended);
+        SnapshotEntries.of(configuration, membership, owners, commands, tombstones, ended, orders);
     return SnapshotEntries.split(nextOffset, logTimeMillis, entries, encodedBytes);
   }
 
@@ -393,6 +419,7 @@
     configuration = restored.configuration();
     membership = restored.membership();
     owners = restored.owners();
+    orders = restored.orders();
     replace(commands, restored.commands());
     replace(tombstones, restored.tombstones());
     replace(ended, restored.ended());
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
+import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.ClientAccount;
 import org.cactusseam.model.Configuration;
@@ -53,6 +54,7 @@
    * @param commands commands by identity
    * @param tombstones removal times
    * @param ended ended runs
+   * @param orders orders to backend servers
    */
   record Restored(
       Configuration configuration,
@@ -60,7 +62,8 @@
       ShardOwners owners,
       Map<String, ControlState.Command> commands,
       Map<ObjectKey, Long> tombstones,
-      Map<NodeName, ControlState.Ended> ended) {}
+      Map<NodeName, ControlState.Ended> ended,
+      OrderBook orders) {}
 
   private SnapshotEntries() {}
 
@@ -70,7 +73,8 @@
       ShardOwners owners,
       Map<String, ControlState.Command> commands,
       Map<ObjectKey, Long> tombstones,
-      Map<NodeName, ControlState.Ended> ended) {
+      Map<NodeName, ControlState.Ended> ended,
+      OrderBook orders) {
     List<SnapshotEntry> entries = new ArrayList<>();
     for (Class<? extends ConfigurationObject> type : TYPES) {
       configuration.all(type).forEach(object -> entries.add(present(configuration, object)));
@@ -99,6 +103,7 @@
     owners.owners().keySet().stream()
         .sorted()
         .forEach(shard -> entries.add(new SnapshotEntry.Owned(shard, owners.of(shard))));
+    orders.entries().forEach(entry -> entries.add(entry.toSnapshot()));
     return entries;
   }
 
@@ -118,6 +123,7 @@
     Map<String, ControlState.Command> commands = new LinkedHashMap<>();
     Map<ObjectKey, Long> tombstones = new LinkedHashMap<>();
     Map<NodeName, ControlState.Ended> ended = new LinkedHashMap<>();
+    List<OrderBook.Entry> orders = new ArrayList<>();
     for (SnapshotEntry entry : entries) {
       switch (entry) {
         case SnapshotEntry.Present present ->
@@ -139,6 +145,7 @@
         case SnapshotEntry.EndedRun run ->
             ended.put(run.node(), new ControlState.Ended(run.boot(), run.endedAtMillis()));
         case SnapshotEntry.Owned owned -> owners.put(owned.shard(), owned.owner());
+        case SnapshotEntry.Order order -> orders.add(OrderBook.Entry.of(order));
       }
     }
     return new Restored(
@@ -147,7 +154,8 @@
         new ShardOwners(owners),
         commands,
         tombstones,
-        ended);
+        ended,
+        new OrderBook(orders));
   }
 
   static List<ControlRecord.Snapshot> split(
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
@@ -16,9 +16,17 @@
   @JsonSubTypes.Type(value = ControlRecord.Activate.class, name = "activate"),
   @JsonSubTypes.Type(value = ControlRecord.Leave.class, name = "leave"),
   @JsonSubTypes.Type(value = ControlRecord.Expel.class, name = "expel"),
-  @JsonSubTypes.Type(value = ControlRecord.Snapshot.class, name = "snapshot")
+  @JsonSubTypes.Type(value = ControlRecord.Snapshot.class, name = "snapshot"),
+  @JsonSubTypes.Type(value = OrderRecord.class)
 })
-public sealed interface ControlRecord {
+public sealed interface ControlRecord
+    permits ControlRecord.Change,
+        ControlRecord.Join,
+        ControlRecord.Activate,
+        ControlRecord.Leave,
+        ControlRecord.Expel,
+        ControlRecord.Snapshot,
+        OrderRecord {
 
   /** Revision of an object that does not exist. */
   long ABSENT_REVISION = -1;
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/SnapshotEntry.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/SnapshotEntry.java
@@ -16,7 +16,8 @@
   @JsonSubTypes.Type(value = SnapshotEntry.Command.class, name = "command"),
   @JsonSubTypes.Type(value = SnapshotEntry.Run.class, name = "run"),
   @JsonSubTypes.Type(value = SnapshotEntry.EndedRun.class, name = "ended"),
-  @JsonSubTypes.Type(value = SnapshotEntry.Owned.class, name = "owned")
+  @JsonSubTypes.Type(value = SnapshotEntry.Owned.class, name = "owned"),
+  @JsonSubTypes.Type(value = SnapshotEntry.Order.class, name = "order")
 })
 public sealed interface SnapshotEntry {
 
@@ -85,4 +86,19 @@
    * @param owner owner
    */
   record Owned(ShardId shard, Optional<ShardOwner> owner) implements SnapshotEntry {}
+
+  /**
+   * An order to a backend server.
+   *
+   * @param offset offset of the order
+   * @param issued record that issued it
+   * @param started last announcement that it is sent
+   * @param outcome how it ended
+   */
+  record Order(
+      long offset,
+      OrderRecord.Issued issued,
+      Optional<OrderRecord.Started> started,
+      Optional<OrderOutcome> outcome)
+      implements SnapshotEntry {}
 }
