Check TLS pairs, pass over unreachable servers and end silent calls

Cause: a mixed-up certificate and key would only show at the first connection; only the first of several server URLs was used; a call to a daemon that stopped sending waited for ever. Change: the loader signs a probe to match key and certificate; query and order go to the next URL while nothing was sent; a call watches each connection for data. Failed try: the idle timeout of the HTTP client ends with the response head; the new test hung on it for 10 minutes, so the calls have a timer of their own and the test classes a time limit.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/CompletionCall.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/CompletionCall.java
@@ -85,10 +85,9 @@
   }
 
   private void connect() {
-    RequestOptions options = requestOptions().setIdleTimeout(plan.idleTimeout().toMillis());
-    http.request(options)
+    http.request(requestOptions())
         .onSuccess(this::send)
-        .onFailure(failure -> move("no connection: " + failure.toString()));
+        .onFailure(failure -> move("no connection: " + failure));
   }
 
   private RequestOptions requestOptions() {
@@ -110,32 +109,39 @@
   }
 
   private void send(HttpClientRequest request) {
+    Attempt attempt = new Attempt(request);
+    attempt.watch();
     boolean resumes = verifier.generation().isPresent();
     Future<HttpClientResponse> response = resumes ? request.send() : request.send(plan.body());
-    response.onSuccess(this::receive).onFailure(failure -> broken(failure.toString()));
+    response
+        .onSuccess(head -> receive(head, attempt))
+        .onFailure(failure -> attempt.end(() -> broken(failure.toString())));
   }
 
-  private void receive(HttpClientResponse response) {
+  private void receive(HttpClientResponse response, Attempt attempt) {
     if (response.statusCode() != STATUS_OK) {
       response
           .body()
-          .onSuccess(body -> refused(response.statusCode(), body))
-          .onFailure(failure -> broken(failure.toString()));
+          .onSuccess(body -> attempt.end(() -> refused(response.statusCode(), body)))
+          .onFailure(failure -> attempt.end(() -> broken(failure.toString())));
       return;
     }
     ServerSentEvents events = new ServerSentEvents();
-    Attempt attempt = new Attempt(response.request());
     RecordParser lines = RecordParser.newDelimited("\n", response);
     lines.handler(
-        line -> events.accept(line.toString()).ifPresent(event -> accept(event, attempt)));
+        line -> {
+          attempt.lastData = clock.instant();
+          events.accept(line.toString()).ifPresent(event -> accept(event, attempt));
+        });
     lines.exceptionHandler(failure -> attempt.end(() -> broken(failure.toString())));
     lines.endHandler(end -> attempt.end(() -> broken("the connection ended before the answer")));
   }
 
   /** One connection of the call; the first end counts, later events of it are ignored. */
-  private static final class Attempt {
+  private final class Attempt {
 
     private final HttpClientRequest request;
+    private Instant lastData = clock.instant();
     private boolean ended;
 
     Attempt(HttpClientRequest request) {
@@ -148,6 +154,20 @@
         action.run();
       }
     }
+
+    /** Ends the attempt if no data arrives; the idle timeout of the client ends with the head. */
+    void watch() {
+      if (ended) {
+        return;
+      }
+      Duration rest = plan.idleTimeout().minus(Duration.between(lastData, clock.instant()));
+      if (rest.isPositive()) {
+        vertx.setTimer(rest.toMillis() + 1, timer -> watch());
+      } else {
+        end(() -> broken("no data within " + plan.idleTimeout().toMillis() + " ms"));
+        request.reset();
+      }
+    }
   }
 
   private void accept(ServerSentEvents.Event event, Attempt attempt) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/OperatorClient.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/OperatorClient.java
@@ -9,6 +9,7 @@
 import io.vertx.core.json.JsonObject;
 import java.net.URI;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +23,7 @@
 
   private final Vertx vertx = Vertx.vertx();
   private final HttpClient http;
-  private final URI server;
+  private final List<URI> servers;
   private final String key;
   private final Duration timeout;
 
@@ -44,16 +45,16 @@
    */
   record Unanswered(String reason, boolean sent) implements Outcome {}
 
-  OperatorClient(HttpClientOptions options, URI server, String key, Duration timeout) {
+  OperatorClient(HttpClientOptions options, List<URI> servers, String key, Duration timeout) {
     this.http = vertx.createHttpClient(options);
-    this.server = server;
+    this.servers = List.copyOf(servers);
     this.key = key;
     this.timeout = timeout;
   }
 
   /**
-   * Sends a command and waits for the answer. It is sent once; the caller decides whether to send
-   * it again under the same identity.
+   * Sends a command and waits for the answer. It goes to the next daemon only while it has
+   * certainly not been sent; the caller decides whether to send it again under the same identity.
    *
    * @param command command
    * @param commandId identity of the command
@@ -67,6 +68,17 @@
             .put("command_id", commandId)
             .put("format", format.name().toLowerCase(Locale.ROOT))
             .encode();
+    Outcome outcome = new Unanswered("no server", false);
+    for (URI server : servers) {
+      outcome = send(server, body);
+      if (!(outcome instanceof Unanswered unanswered) || unanswered.sent()) {
+        return outcome;
+      }
+    }
+    return outcome;
+  }
+
+  private Outcome send(URI server, String body) {
     boolean[] sent = {false};
     Future<Outcome> outcome =
         http.request(Urls.request(server, HttpMethod.POST, PATH, key))
--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/OrderCommand.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/OrderCommand.java
@@ -88,7 +88,7 @@
     try (OperatorClient client =
         new OperatorClient(
             connection.http(options),
-            connection.servers(options).getFirst(),
+            connection.servers(options),
             connection.key(options),
             connection.timeout(options))) {
       return sendAll(orders.get(), options, client, terminal);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/QueryCommand.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/QueryCommand.java
@@ -65,7 +65,7 @@
   private OperatorClient client(OptionSet options) {
     return new OperatorClient(
         connection.http(options),
-        connection.servers(options).getFirst(),
+        connection.servers(options),
         connection.key(options),
         connection.timeout(options));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
@@ -151,6 +151,11 @@
     }
     Optional<Secret> chain = readFile(values, certificateFile, KeyFiles::certificate);
     Optional<Secret> privateKey = readFile(values, privateKeyFile, KeyFiles::privateKey);
+    if (chain.isPresent()
+        && privateKey.isPresent()
+        && !KeyFiles.belongTogether(chain.get(), privateKey.get())) {
+      tree.addFault(privateKeyFile.path(), "the key does not belong to the first certificate");
+    }
     return chain.flatMap(first -> privateKey.map(key -> new Settings.Certificate(first, key)));
   }
 
--- a/cactusseam-daemon/src/test/java/org/cactusseam/cli/CallCommandTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/cli/CallCommandTest.java
@@ -14,11 +14,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against calls that report a damaged answer as complete, or run a request twice. */
+@Timeout(60)
 class CallCommandTest {
 
   private static final int TOKENS = 4;
@@ -66,7 +68,7 @@
     if (steps.contains("break")) {
       // Leaves the written events the time to arrive before the connection is closed.
       request.response().write("\n").onComplete(written -> request.connection().close());
-    } else {
+    } else if (!steps.contains("hang")) {
       request.response().end();
     }
   }
@@ -74,7 +76,7 @@
   private static void write(HttpServerRequest request, String step) {
     String text =
         switch (step) {
-          case "break" -> ": keep-alive\n";
+          case "break", "hang" -> ": keep-alive\n";
           case "done" -> "data: [DONE]\n\n";
           case "elsewhere" ->
               "event: error\ndata: {\"error\":{\"code\":1001,\"message\":\"\"}}\n\n";
@@ -178,6 +180,14 @@
     assertThat(requests.size(), is(2));
   }
 
+  @Test
+  void a_connection_without_data_counts_as_broken_after_the_timeout() {
+    script = "0 1 hang";
+
+    assertThat(call(both(), "--timeout", "300ms"), is(ExitCode.OK));
+    assertThat(fixture.err(), containsString("tokens: 4, resumes: 1"));
+  }
+
   @Test
   void a_load_of_many_calls_prints_its_totals() {
     script = "0 1 2 3 done";
--- a/cactusseam-daemon/src/test/java/org/cactusseam/cli/CommandLineFixture.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/cli/CommandLineFixture.java
@@ -2,7 +2,9 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.PemKeyCertOptions;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -21,6 +23,7 @@
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
   private final Path keyFile;
+  private String scheme = "http";
   private int port;
 
   CommandLineFixture(Path directory) throws IOException {
@@ -30,9 +33,26 @@
 
   /** Starts the server; the handler gets each request with its body. */
   void listen(BiConsumer<HttpServerRequest, String> handler) {
+    listen(handler, new HttpServerOptions());
+  }
+
+  /** Starts the server with a certificate for the loopback address. */
+  void listenWithTls(BiConsumer<HttpServerRequest, String> handler) {
+    scheme = "https";
+    listen(
+        handler,
+        new HttpServerOptions()
+            .setSsl(true)
+            .setKeyCertOptions(
+                new PemKeyCertOptions()
+                    .addCertPath("src/test/resources/tls/ec-certificate.pem")
+                    .addKeyPath("src/test/resources/tls/ec-key.pem")));
+  }
+
+  private void listen(BiConsumer<HttpServerRequest, String> handler, HttpServerOptions options) {
     HttpServer server =
         vertx
-            .createHttpServer()
+            .createHttpServer(options)
             .requestHandler(
                 request ->
                     request.body().onSuccess(body -> handler.accept(request, body.toString())))
@@ -44,7 +64,7 @@
   }
 
   String url() {
-    return "http://127.0.0.1:" + port;
+    return scheme + "://127.0.0.1:" + port;
   }
 
   String keyFile() {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/cli/MainTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/cli/MainTest.java
@@ -20,12 +20,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against subcommands without help and against exit codes that scripts cannot rely on. */
+@Timeout(60)
 class MainTest {
 
   @TempDir Path directory;
--- a/cactusseam-daemon/src/test/java/org/cactusseam/cli/OperatorCommandsTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/cli/OperatorCommandsTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -33,6 +34,7 @@
  * Guards against orders whose result is reported wrongly. The server keeps a real control state, so
  * that applying a file again meets the revisions that the first run left.
  */
+@Timeout(60)
 class OperatorCommandsTest {
 
   private static final String DECLARATIONS =
@@ -229,6 +231,42 @@
                 + "\"rank\":0,\"may-wait\":\"no\",\"revision\":0}]}"));
   }
 
+  @Test
+  void an_unreachable_server_is_passed_over() {
+    ExitCode code =
+        fixture.run(
+            new QueryCommand(),
+            "query",
+            "--server",
+            "http://127.0.0.1:1," + fixture.url(),
+            "--key-file",
+            fixture.keyFile(),
+            "show classes");
+
+    assertThat(code, is(ExitCode.OK));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"ec-certificate.pem, OK", "rsa-certificate.pem, UNREACHABLE", ", UNREACHABLE"})
+  void a_server_with_an_untrusted_certificate_gets_no_key(String trusted, ExitCode expected)
+      throws IOException {
+    try (CommandLineFixture secure = new CommandLineFixture(directory)) {
+      secure.listenWithTls(this::answer);
+      List<String> arguments =
+          new ArrayList<>(
+              List.of("query", "--server", secure.url(), "--key-file", secure.keyFile()));
+      if (trusted != null) {
+        arguments.addAll(List.of("--ca-file", "src/test/resources/tls/" + trusted));
+      }
+      arguments.add("show classes");
+
+      ExitCode code = secure.run(new QueryCommand(), arguments.toArray(String[]::new));
+
+      assertThat(secure.err(), code, is(expected));
+      assertThat(received, hasSize(expected == ExitCode.OK ? 1 : 0));
+    }
+  }
+
   @ParameterizedTest
   @CsvSource({
     "1000, OK",
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/settings/SettingsLoaderTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/settings/SettingsLoaderTest.java
@@ -10,6 +10,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -27,6 +28,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a daemon that starts with settings nobody meant, and against printed secrets. */
 class SettingsLoaderTest {
@@ -189,6 +191,44 @@
             containsString("keys.cluster-key-file: the key has 5 bytes, expected at least 32")));
   }
 
+  private void copy(String... names) throws IOException {
+    for (String name : names) {
+      try (InputStream stream = SettingsLoaderTest.class.getResourceAsStream("/tls/" + name)) {
+        Files.copy(stream, directory.resolve(name));
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"ec", "rsa"})
+  void a_certificate_with_its_private_key_is_loaded_and_masked(String algorithm)
+      throws IOException {
+    copy(algorithm + "-certificate.pem", algorithm + "-key.pem");
+    String tls =
+        "tls: {operator: {certificate-file: NAME-certificate.pem, private-key-file: NAME-key.pem}}\n";
+
+    Settings settings = load(VALID + tls.replace("NAME", algorithm)).get();
+
+    Settings.Certificate certificate = settings.tls().operator().orElseThrow();
+    assertThat(new String(certificate.chain().bytes()), containsString("BEGIN CERTIFICATE"));
+    assertThat(settings.toString(), not(containsString("BEGIN")));
+    assertThat(settings.tls().caller(), is(Optional.empty()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"ec, other", "ec, rsa", "rsa, ec"})
+  void a_private_key_of_another_certificate_is_refused(String certificate, String key)
+      throws IOException {
+    copy(certificate + "-certificate.pem", key + "-key.pem");
+    String tls =
+        "tls: {caller: {certificate-file: CERTIFICATE-certificate.pem, private-key-file: KEY-key.pem}}";
+
+    List<String> faults =
+        faults(VALID + tls.replace("CERTIFICATE", certificate).replace("KEY", key));
+
+    assertThat(faults, hasItem(containsString("tls.caller.private-key-file: the key does not")));
+  }
+
   @Property(seed = "20260101", tries = 10_000)
   void hostile_text_is_reported_and_never_throws(
       @ForAll String text, @ForAll @IntRange(max = 350) int position) {
