Run requests that must not be repeated at most once

Cause: a booking that was sent twice with one key ran twice; no claim stood between the caller and the service. Change: the daemon drives the claim coordinator against the stream of claims and its peers. A request of a route that is not repeatable claims its key before it asks for a permit and takes the right to be sent directly before it is written. Repeats get the stored answer from the daemon of the claim.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -11,6 +11,9 @@
 import org.cactusseam.model.admission.Permit;
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.claim.ClaimAnswer;
+import org.cactusseam.model.claim.ClaimId;
+import org.cactusseam.model.claim.ClaimKey;
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.Handover;
 import org.cactusseam.model.control.Member;
@@ -34,6 +37,8 @@
   @JsonSubTypes.Type(value = PeerMessage.StandIn.class, name = "stand-in"),
   @JsonSubTypes.Type(value = PeerMessage.Restriction.class, name = "restriction"),
   @JsonSubTypes.Type(value = PeerMessage.RestrictionAnswer.class, name = "restriction-answer"),
+  @JsonSubTypes.Type(value = PeerMessage.ClaimQuestion.class, name = "claim-question"),
+  @JsonSubTypes.Type(value = PeerMessage.ClaimReply.class, name = "claim-reply"),
   @JsonSubTypes.Type(value = PeerMessage.AskPermit.class, name = "ask"),
   @JsonSubTypes.Type(value = PeerMessage.Decided.class, name = "decided"),
   @JsonSubTypes.Type(value = PeerMessage.Confirmed.class, name = "confirmed"),
@@ -236,4 +241,22 @@
    * @param requests requests that it serves
    */
   record QueryReply(long id, NodeName node, List<RequestSummary> requests) implements PeerMessage {}
+
+  /**
+   * Asks the node of a claim about it.
+   *
+   * @param asker attempt that waits for the answer
+   * @param key idempotency key
+   * @param claim claim of the receiver
+   */
+  record ClaimQuestion(ClaimId asker, ClaimKey key, ClaimId claim) implements PeerMessage {}
+
+  /**
+   * Answers a {@link ClaimQuestion}.
+   *
+   * @param asker attempt that waits for the answer
+   * @param claim claim of the sender
+   * @param answer what the sender knows of it
+   */
+  record ClaimReply(ClaimId asker, ClaimId claim, ClaimAnswer answer) implements PeerMessage {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -199,7 +199,17 @@
             ? new StreamedAnswer(response, services.clusterKey())
             : new CollectedAnswer(response, services.clusterKey());
     ModelRequest request =
-        new ModelRequest(services, client, info, body, answer, slowReader(context.request()));
+        new ModelRequest(
+            services,
+            client,
+            info,
+            body,
+            answer,
+            slowReader(context.request()),
+            new ClaimGate(
+                services.claims(),
+                info,
+                Optional.ofNullable(context.request().getHeader(Headers.IDEMPOTENCY_KEY))));
     response.closeHandler(closed -> request.callerLeft());
     request.start();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServices.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServices.java
@@ -4,6 +4,7 @@
 import java.time.Clock;
 import java.util.function.Supplier;
 import org.cactusseam.edge.control.AdmissionClient;
+import org.cactusseam.edge.control.ClaimClient;
 import org.cactusseam.edge.control.RoutingView;
 import org.cactusseam.edge.metrics.RequestMetrics;
 import org.cactusseam.edge.settings.Settings;
@@ -16,6 +17,7 @@
  * @param settings settings
  * @param view current configuration
  * @param admission admission
+ * @param claims claims of requests that must not run twice
  * @param active requests that are served
  * @param ids source of identities
  * @param metrics metrics of requests
@@ -26,6 +28,7 @@
     Settings settings,
     Supplier<RoutingView> view,
     AdmissionClient admission,
+    ClaimClient claims,
     ActiveRequests active,
     AttemptIds ids,
     RequestMetrics metrics) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -45,6 +45,7 @@
   private final AttemptLoop attempts;
   private final SlowReaderGuard slowReader;
   private final RequestJournal journal;
+  private final ClaimGate gate;
   private AttemptLoop.@Nullable Attempt current;
   private @Nullable GenerationRelay relay;
   private @Nullable GenerationId generation;
@@ -56,8 +57,10 @@
       RequestInfo info,
       JsonObject body,
       Answer answer,
-      SlowReaderGuard slowReader) {
+      SlowReaderGuard slowReader,
+      ClaimGate gate) {
     this.services = services;
+    this.gate = gate;
     this.client = client;
     this.info = info;
     this.body = body.copy().put("stream", true);
@@ -76,7 +79,19 @@
 
   void start() {
     answer.onDrain(this::drained);
-    attempts.start();
+    gate.claim(this::attempt, this::refuse, stored -> refuse(alreadyRan()));
+  }
+
+  private void attempt() {
+    if (ended) {
+      gate.ended();
+    } else {
+      attempts.start();
+    }
+  }
+
+  private static Refusal alreadyRan() {
+    return Refusal.permanent(ResultCode.ALREADY_RAN, "the answer of a stream is not kept");
   }
 
   @Override
@@ -103,6 +118,22 @@
       notSent(attempt, new ConnectException("the permit expired before the request was sent"));
       return;
     }
+    gate.begin(
+        () -> write(attempt, request),
+        refusal -> {
+          request.reset();
+          attempts.end(attempt.permit(), AttemptEnd.NOT_SENT, 0);
+          refuse(refusal);
+        });
+  }
+
+  private void write(AttemptLoop.Attempt attempt, HttpClientRequest request) {
+    if (!services.clock().instant().isBefore(attempt.validUntil())) {
+      request.reset();
+      gate.refusedByServer();
+      notSent(attempt, new ConnectException("the permit expired before the request was sent"));
+      return;
+    }
     request.putHeader("Content-Type", "application/json");
     request.putHeader(Headers.STREAM, streamOf(attempt));
     request.putHeader(Headers.PRIORITY, Integer.toString(rank()));
@@ -168,6 +199,9 @@
     boolean notRun = response.getHeader(Headers.NOT_RUN) != null;
     response.request().reset();
     attempts.end(attempt.permit(), AttemptEnd.REFUSED, 0);
+    if (notRun) {
+      gate.refusedByServer();
+    }
     boolean callersFault =
         status >= STATUS_CLIENT_ERROR && status < STATUS_SERVER_ERROR && status != STATUS_CONFLICT;
     if (callersFault && !notRun) {
@@ -215,6 +249,7 @@
 
   @Override
   public void completed(String finish, long tokens) {
+    gate.ranWithoutAnswer();
     finish(AttemptEnd.COMPLETED);
     journal.ended(tokens, "whole");
     if (generation != null) {
@@ -259,6 +294,7 @@
 
   @Override
   public void refuse(Refusal refusal) {
+    gate.ended();
     if (!ended) {
       ended = true;
       services.active().remove(info);
@@ -269,6 +305,7 @@
 
   private void finish(AttemptEnd end) {
     ended = true;
+    gate.ended();
     slowReader.drained();
     services.active().remove(info);
     if (current != null && relay != null) {
@@ -284,6 +321,7 @@
     ended = true;
     slowReader.drained();
     services.active().remove(info);
+    gate.ended();
     attempts.stop();
     journal.ended(relay == null ? 0 : relay.nextIndex(), "caller_left");
     leave();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
@@ -10,11 +10,13 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.cactusseam.edge.backend.Headers;
 import org.cactusseam.model.Refusal;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.admission.AttemptEnd;
+import org.cactusseam.model.claim.StoredAnswer;
 
 /**
  * One request to a plain service. The answer is held until it is whole, so that the caller never
@@ -38,6 +40,7 @@
   private final ActiveRequests.Entry entry;
   private final RequestJournal journal;
   private final AttemptLoop attempts;
+  private final ClaimGate gate;
   private boolean ended;
 
   PlainRequest(
@@ -53,11 +56,37 @@
     this.body = body;
     this.journal = new RequestJournal(services.clock(), services.metrics(), info);
     this.entry = services.active().add(info, () -> {});
+    this.gate =
+        new ClaimGate(
+            services.claims(),
+            info,
+            Optional.ofNullable(request.getHeader(Headers.IDEMPOTENCY_KEY)));
     this.attempts = new AttemptLoop(services, info, new PromptProfile(0, List.of()), 0, this);
   }
 
   void start() {
-    attempts.start();
+    gate.claim(this::attempt, this::refuse, this::repeat);
+  }
+
+  private void attempt() {
+    if (ended) {
+      gate.ended();
+    } else {
+      attempts.start();
+    }
+  }
+
+  private void repeat(StoredAnswer stored) {
+    if (ended) {
+      return;
+    }
+    finish();
+    journal.ended(1, "repeated");
+    request
+        .response()
+        .setStatusCode(stored.httpStatus())
+        .putHeader("Content-Type", stored.contentType())
+        .end(Buffer.buffer(stored.body()));
   }
 
   @Override
@@ -85,6 +114,27 @@
       notSent(attempt, new ConnectException("the permit expired before the request was sent"));
       return;
     }
+    gate.begin(
+        () -> write(attempt, outgoing),
+        refusal -> {
+          outgoing.reset();
+          attempts.end(attempt.permit(), AttemptEnd.NOT_SENT, 0);
+          refuse(refusal);
+        });
+  }
+
+  private void write(AttemptLoop.Attempt attempt, HttpClientRequest outgoing) {
+    if (!services.clock().instant().isBefore(attempt.validUntil())) {
+      outgoing.reset();
+      gate.refusedByServer();
+      attempts.end(attempt.permit(), AttemptEnd.NOT_SENT, 0);
+      refuse(
+          new Refusal(
+              ResultCode.OVERLOADED,
+              "the permit expired before it was used",
+              Duration.ofSeconds(1)));
+      return;
+    }
     request
         .headers()
         .forEach(
@@ -110,6 +160,7 @@
                     .confirmed(attempt.permit().shard(), attempt.permit().id(), state));
     if (response.getHeader(Headers.NOT_RUN) != null) {
       response.request().reset();
+      gate.refusedByServer();
       attempts.end(attempt.permit(), AttemptEnd.REFUSED, 0);
       retry(attempt, false, ResultCode.BACKEND_UNAVAILABLE, "the backend server refused");
       return;
@@ -122,6 +173,9 @@
 
   private void completed(AttemptLoop.Attempt attempt, HttpClientResponse response, Buffer content) {
     attempts.end(attempt.permit(), AttemptEnd.COMPLETED, 1);
+    String contentType =
+        Optional.ofNullable(response.getHeader("Content-Type")).orElse("application/octet-stream");
+    gate.ran(response.statusCode(), contentType, content.getBytes());
     if (ended) {
       return;
     }
@@ -158,6 +212,7 @@
 
   @Override
   public void refuse(Refusal refusal) {
+    gate.ended();
     if (!ended) {
       finish();
       journal.refused(refusal);
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
@@ -0,0 +1,224 @@
+package org.cactusseam.edge.control;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.time.Clock;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.cactusseam.edge.Json;
+import org.cactusseam.edge.platform.AppendOnlyLog;
+import org.cactusseam.edge.platform.LogPage;
+import org.cactusseam.edge.settings.Settings;
+import org.cactusseam.logic.idempotency.ClaimAction;
+import org.cactusseam.logic.idempotency.ClaimCoordinator;
+import org.cactusseam.logic.idempotency.ClaimSettings;
+import org.cactusseam.model.AccountName;
+import org.cactusseam.model.claim.ClaimBatch;
+import org.cactusseam.model.claim.ClaimId;
+import org.cactusseam.model.claim.StoredAnswer;
+import org.cactusseam.model.control.Member;
+import org.cactusseam.model.message.PeerMessage;
+import org.jboss.logging.Logger;
+
+/**
+ * Runs the claims of this daemon against the log and its peers. State lives on the control thread.
+ */
+final class ClaimDesk implements ClaimClient, LogTailer.Listener {
+
+  /** Other runs of nodes, as far as this daemon knows. */
+  interface Peers {
+
+    /**
+     * Sends a message.
+     *
+     * @param claim claim whose node is the receiver
+     * @param message message
+     * @return false if that run is gone
+     */
+    boolean send(ClaimId claim, PeerMessage message);
+  }
+
+  private static final Logger LOG = Logger.getLogger(ClaimDesk.class);
+  private static final long TICK_MILLIS = 10;
+
+  private final Vertx vertx;
+  private final ControlThread thread;
+  private final AppendOnlyLog log;
+  private final String stream;
+  private final Peers peers;
+  private final ClaimCoordinator coordinator;
+  private final LogTailer tailer;
+  private final Map<ClaimId, Consumer<ClaimOutcome>> waiting = new HashMap<>();
+
+  ClaimDesk(
+      Vertx vertx,
+      ControlThread thread,
+      Clock clock,
+      AppendOnlyLog log,
+      Settings.Platform platform,
+      Member self,
+      Peers peers) {
+    this.vertx = vertx;
+    this.thread = thread;
+    this.log = log;
+    this.stream = platform.claimsStream();
+    this.peers = peers;
+    this.coordinator =
+        new ClaimCoordinator(
+            self.node(), self.boot(), ClaimSettings.of(platform.retention()), clock);
+    this.tailer = new LogTailer(vertx, clock, log, stream, coordinator::nextOffset, this);
+  }
+
+  void start() {
+    tailer.start();
+    vertx.setPeriodic(
+        TICK_MILLIS,
+        timer -> {
+          coordinator.tick();
+          perform();
+        });
+  }
+
+  void stop() {
+    tailer.stop();
+  }
+
+  void appendingNodes(int nodes) {
+    coordinator.appendingNodes(Math.max(1, nodes));
+  }
+
+  @Override
+  public void read(Instant sentAt, LogPage page) {
+    List<ClaimCoordinator.OffsetBatch> batches = new ArrayList<>();
+    for (LogPage.LogEntry entry : page.records()) {
+      ClaimBatch batch =
+          Json.read(entry.value(), ClaimBatch.class)
+              .onFailure(
+                  cause -> LOG.errorf("event=claim_unreadable offset=%d", (Object) entry.offset()))
+              .getOrElse(new ClaimBatch(List.of()));
+      batches.add(new ClaimCoordinator.OffsetBatch(entry.offset(), batch));
+    }
+    coordinator.recordsRead(page.earliest(), batches);
+    perform();
+  }
+
+  @Override
+  public void failed() {
+    coordinator.logUnavailable();
+    perform();
+  }
+
+  @Override
+  public void claim(
+      AccountName account,
+      String key,
+      String fingerprint,
+      Instant deadline,
+      Consumer<ClaimOutcome> answer) {
+    Context caller = Vertx.currentContext();
+    thread.run(
+        () -> {
+          ClaimId id = coordinator.arrive(account, key, fingerprint, deadline);
+          waiting.put(id, outcome -> caller.runOnContext(ignored -> answer.accept(outcome)));
+          perform();
+        });
+  }
+
+  @Override
+  public void begin(ClaimId id, Consumer<Boolean> answer) {
+    Context caller = Vertx.currentContext();
+    thread.run(
+        () -> {
+          boolean entitled = coordinator.begin(id);
+          perform();
+          caller.runOnContext(ignored -> answer.accept(entitled));
+        });
+  }
+
+  @Override
+  public void ran(ClaimId id, Optional<StoredAnswer> answer) {
+    thread.run(
+        () -> {
+          coordinator.ran(id, answer);
+          perform();
+        });
+  }
+
+  @Override
+  public void outcomeUnknown(ClaimId id) {
+    thread.run(
+        () -> {
+          coordinator.outcomeUnknown(id);
+          perform();
+        });
+  }
+
+  @Override
+  public void notRun(ClaimId id) {
+    thread.run(
+        () -> {
+          coordinator.notRun(id);
+          waiting.remove(id);
+          perform();
+        });
+  }
+
+  PeerMessage.ClaimReply answer(PeerMessage.ClaimQuestion question) {
+    return new PeerMessage.ClaimReply(
+        question.asker(), question.claim(), coordinator.answer(question.key(), question.claim()));
+  }
+
+  void answered(PeerMessage.ClaimReply reply) {
+    coordinator.answered(reply.asker(), reply.claim(), reply.answer());
+    perform();
+  }
+
+  private void perform() {
+    for (ClaimAction action : coordinator.drain()) {
+      switch (action) {
+        case ClaimAction.Append append -> append(append);
+        case ClaimAction.Dispatch dispatch ->
+            settle(dispatch.id(), new ClaimOutcome.Entitled(dispatch.id()));
+        case ClaimAction.Refuse refuse ->
+            settle(refuse.id(), new ClaimOutcome.Denied(refuse.refusal()));
+        case ClaimAction.Answer answer ->
+            settle(answer.id(), new ClaimOutcome.Repeated(answer.answer()));
+        case ClaimAction.Ask ask -> ask(ask);
+      }
+    }
+  }
+
+  private void append(ClaimAction.Append append) {
+    log.append(stream, Json.write(append.record()))
+        .onSuccess(offset -> coordinator.appendSucceeded(append.batch()))
+        .onFailure(cause -> coordinator.appendTimedOut(append.batch()))
+        .onComplete(done -> perform());
+  }
+
+  private void ask(ClaimAction.Ask ask) {
+    boolean sent =
+        peers.send(ask.claim(), new PeerMessage.ClaimQuestion(ask.id(), ask.key(), ask.claim()));
+    if (!sent) {
+      coordinator.unreachable(ask.id(), ask.claim());
+      vertx.runOnContext(ignored -> perform());
+    }
+  }
+
+  /**
+   * An attempt that was entitled stays registered, because its right can still lapse into a
+   * refusal.
+   */
+  private void settle(ClaimId id, ClaimOutcome outcome) {
+    Consumer<ClaimOutcome> answer = waiting.remove(id);
+    if (answer != null) {
+      answer.accept(outcome);
+    } else if (outcome instanceof ClaimOutcome.Denied denied) {
+      LOG.debugf("event=claim_lapsed attempt=%s reason=%s", id, denied.refusal().code());
+    }
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimOutcome.java
@@ -0,0 +1,30 @@
+package org.cactusseam.edge.control;
+
+import org.cactusseam.model.Refusal;
+import org.cactusseam.model.claim.ClaimId;
+import org.cactusseam.model.claim.StoredAnswer;
+
+/** Answer to a claim. */
+public sealed interface ClaimOutcome {
+
+  /**
+   * The request may run.
+   *
+   * @param id attempt
+   */
+  record Entitled(ClaimId id) implements ClaimOutcome {}
+
+  /**
+   * The request must not run.
+   *
+   * @param refusal numbered reason
+   */
+  record Denied(Refusal refusal) implements ClaimOutcome {}
+
+  /**
+   * An earlier request with the key ran.
+   *
+   * @param answer its answer
+   */
+  record Repeated(StoredAnswer answer) implements ClaimOutcome {}
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -34,6 +34,7 @@
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.Permit;
+import org.cactusseam.model.claim.ClaimId;
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.Handover;
 import org.cactusseam.model.control.Member;
@@ -69,6 +70,8 @@
   private final OwnedShards owned;
   private final PeerQueries queries;
   private final CommandDesk commands;
+  private final ClaimDesk claims;
+  private final Map<NodeName, String> boots = new HashMap<>();
   private Member self;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean ready;
@@ -111,6 +114,9 @@
     this.owned =
         new OwnedShards(clock, admissionSettings(settings), coordinator::mayGrant, this::send);
     this.queries = new PeerQueries(vertx, self.node(), network, localRequests);
+    this.claims =
+        new ClaimDesk(
+            vertx, thread, clock, platformLog, settings.platform(), self, this::sendToClaimant);
     this.commands =
         new CommandDesk(
             vertx, self.node(), log, inForce, restrictions, network, queries, this::changed);
@@ -184,6 +190,7 @@
   private void stateChanged() {
     restrictions.applied(log.state());
     inForce.applied(log.state());
+    claims.appendingNodes(log.state().membership().entries().size());
     dropOldStandIns();
     connectMembers();
     changed();
@@ -251,6 +258,7 @@
 
   private void startTimers() {
     log.start();
+    claims.start();
     vertx.setPeriodic(DECISION_INTERVAL_MILLIS, timer -> tick());
     vertx.setPeriodic(INVENTORY_INTERVAL_MILLIS, timer -> router.sendInventories(boot));
     vertx.setPeriodic(LOAD_INTERVAL_MILLIS, timer -> pollLoads());
@@ -409,6 +417,8 @@
       case PeerMessage.HandOver handover -> coordinator.handoverReceived(handover.handover());
       case PeerMessage.HandOverAccepted accepted ->
           coordinator.handoverAcknowledged(accepted.handover());
+      case PeerMessage.ClaimQuestion question -> send(from.node(), claims.answer(question));
+      case PeerMessage.ClaimReply reply -> claims.answered(reply);
       case PeerMessage.StandIn standIn -> noteStandIn(standIn.handover());
       case PeerMessage.Restriction restriction -> restrict(from.node(), restriction.order());
       case PeerMessage.RestrictionAnswer answer -> commands.restrictionAnswered(answer);
@@ -417,6 +427,13 @@
     performActions();
   }
 
+  private boolean sendToClaimant(ClaimId claim, PeerMessage message) {
+    if (!claim.boot().equals(boots.get(claim.node()))) {
+      return false;
+    }
+    return network.send(claim.node(), message);
+  }
+
   private void noteStandIn(Handover handover) {
     standIns.put(handover.shard(), handover);
     dropOldStandIns();
@@ -445,6 +462,7 @@
   public void connected(Member peer) {
     LOG.infof("event=peer_connected peer=%s boot=%s", peer.node(), peer.boot());
     coordinator.bootSeen(RunId.of(peer));
+    boots.put(peer.node(), peer.boot());
     owned.requesterLost(peer.node(), peer.boot());
     performActions();
   }
@@ -452,6 +470,7 @@
   @Override
   public void refused(NodeName peer, Instant attemptedAt) {
     coordinator.connectionRefused(peer, attemptedAt);
+    boots.remove(peer);
   }
 
   /**
@@ -481,6 +500,15 @@
     return router;
   }
 
+  /**
+   * Returns claims for traffic threads.
+   *
+   * @return claims
+   */
+  public ClaimClient claims() {
+    return claims;
+  }
+
   /**
    * Carries out an operator's command; for all threads.
    *
@@ -521,6 +549,7 @@
    */
   public Future<Void> stop() {
     log.stop();
+    claims.stop();
     return network.close();
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/operator/OperatorServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/operator/OperatorServer.java
@@ -49,7 +49,7 @@
 
   @Override
   public Future<?> start() {
-    HttpServerOptions options = new HttpServerOptions();
+    HttpServerOptions options = new HttpServerOptions().setCompressionSupported(true);
     settings.tls().operator().ifPresent(certificate -> useTls(options, certificate));
     Router router = Router.router(vertx);
     router.route().handler(this::authenticate);
