Add contract tests of the stand-ins and fix a crash during a refusal

Polling for a refusal without a pause filled the accept queue and made two tests fail in one run; polls now pause 1 ms, and tests wait for the new incarnation instead of the short time of refusal.

--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/ServicePort.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/ServicePort.java
@@ -4,11 +4,16 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
 import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
@@ -37,6 +42,7 @@
   private final String host;
   private final Set<Reason> closedFor = EnumSet.noneOf(Reason.class);
   private final List<HttpServer> servers = new ArrayList<>();
+  private final Map<HttpConnection, HttpServerResponse> lastResponses = new HashMap<>();
   private int port;
   private Future<?> lastChange = Future.succeededFuture();
 
@@ -48,8 +54,12 @@
   }
 
   Future<Integer> open() {
-    HttpServer server = vertx.createHttpServer().requestHandler(handler);
-    return server
+    // HTTP/2 would carry several requests in one connection, of which a drop would miss some.
+    HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false);
+    return vertx
+        .createHttpServer(options)
+        .connectionHandler(this::forgetWhenClosed)
+        .requestHandler(this::handle)
         .listen(port, host)
         .map(
             listening -> {
@@ -66,7 +76,7 @@
   /** Closes the socket and drops every connection. */
   void drop(Reason reason) {
     closedFor.add(reason);
-    chain(() -> closeAll(0));
+    chain(this::closeAll);
   }
 
   /** Closes the socket; requests that run keep their connections. */
@@ -88,11 +98,30 @@
     lastChange = lastChange.transform(ignored -> change.get().mapEmpty());
   }
 
-  private Future<?> closeAll(long drainMinutes) {
+  private void handle(HttpServerRequest request) {
+    lastResponses.put(request.connection(), request.response());
+    handler.handle(request);
+  }
+
+  private void forgetWhenClosed(HttpConnection connection) {
+    connection.closeHandler(closed -> lastResponses.remove(connection));
+  }
+
+  private static void reset(HttpServerResponse response) {
+    if (!response.ended() && !response.closed()) {
+      response.reset();
+    }
+  }
+
+  private Future<?> closeAll() {
     List<HttpServer> closing = List.copyOf(servers);
     servers.clear();
-    return Future.join(
-        closing.stream().map(server -> server.shutdown(drainMinutes, TimeUnit.MINUTES)).toList());
+    List<Future<Void>> closed =
+        closing.stream().map(server -> server.shutdown(0, TimeUnit.SECONDS)).toList();
+    // A shutdown does not shorten an earlier one of the same server, so it would keep the
+    // connections that drain; their requests are reset one by one.
+    List.copyOf(lastResponses.values()).forEach(ServicePort::reset);
+    return Future.join(closed);
   }
 
   /** Another process may hold the port for a moment, because nothing reserves it. */
--- /dev/null
+++ b/cactusseam-standins/src/test/java/org/cactusseam/standin/StandInFixture.java
@@ -0,0 +1,194 @@
+package org.cactusseam.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** A stand-in under test and a client of it, in one process over loopback. */
+public final class StandInFixture implements AutoCloseable {
+
+  /** A failing test ends after this time instead of blocking the build. */
+  private static final Duration LIMIT = Duration.ofSeconds(10);
+
+  private static final long POLL_NANOS = 1_000_000;
+
+  private static final Vertx VERTX = Vertx.vertx();
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final StandIn<?> standIn;
+  private final String deployment;
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(LIMIT).build();
+
+  private StandInFixture(StandIn<?> standIn) {
+    this.standIn = standIn;
+    deployment = Future.await(VERTX.deployVerticle(standIn));
+  }
+
+  public static StandInFixture start(StandIn<?> standIn) {
+    return new StandInFixture(standIn);
+  }
+
+  /** An answer whose connection did not break. */
+  public record Answer(int status, HttpResponse<String> response) {
+    public JsonNode json() {
+      return parse(response.body());
+    }
+
+    public String header(String name) {
+      return response.headers().firstValue(name).orElse("");
+    }
+  }
+
+  public static JsonNode parse(String json) {
+    try {
+      return MAPPER.readTree(json);
+    } catch (IOException e) {
+      throw new AssertionError("no JSON: " + json, e);
+    }
+  }
+
+  public HttpRequest request(String method, String path, String body, String... headers) {
+    return build(standIn.port(), method, path, body, headers);
+  }
+
+  private static HttpRequest build(
+      int port, String method, String path, String body, String... headers) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .timeout(LIMIT)
+            .method(method, HttpRequest.BodyPublishers.ofString(body));
+    return (headers.length == 0 ? builder : builder.headers(headers)).build();
+  }
+
+  public Answer send(String method, String path, String body, String... headers) {
+    try {
+      return answer(client.send(request(method, path, body, headers), BodyHandlers.ofString()));
+    } catch (IOException e) {
+      throw new AssertionError("connection broke: " + method + " " + path, e);
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  public Answer get(String path) {
+    return send("GET", path, "");
+  }
+
+  public CompletableFuture<Answer> sendLater(String method, String path, String body) {
+    return client
+        .sendAsync(request(method, path, body), BodyHandlers.ofString())
+        .thenApply(StandInFixture::answer);
+  }
+
+  public HttpResponse<InputStream> open(
+      String method, String path, String body, String... headers) {
+    try {
+      return client.send(request(method, path, body, headers), BodyHandlers.ofInputStream());
+    } catch (IOException | InterruptedException e) {
+      throw new AssertionError("no response head: " + path, e);
+    }
+  }
+
+  /** Sends a request whose connection has to break. */
+  public void sendLost(String method, String path, String body, String... headers) {
+    try {
+      HttpResponse<String> response =
+          client.send(request(method, path, body, headers), BodyHandlers.ofString());
+      throw new AssertionError("an answer came: " + response.body());
+    } catch (ConnectException e) {
+      throw new AssertionError("refused instead of lost", e);
+    } catch (IOException e) {
+      // This is the expected loss.
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Tells whether the operating system refuses a connection to the service. */
+  public boolean refuses() {
+    try (java.net.Socket socket = new java.net.Socket()) {
+      socket.connect(new java.net.InetSocketAddress("127.0.0.1", standIn.port()));
+      return false;
+    } catch (ConnectException e) {
+      return true;
+    } catch (IOException e) {
+      // A connection that is reset while the socket closes has not been refused.
+      return false;
+    }
+  }
+
+  /** Calls the admin port, which faults do not affect. */
+  public Answer admin(String method, String path, String body) {
+    try {
+      return answer(
+          client.send(build(standIn.adminPort(), method, path, body), BodyHandlers.ofString()));
+    } catch (IOException | InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  public void fault(String changes) {
+    Answer answer = admin("POST", "/faults", changes);
+    if (answer.status() != 200) {
+      throw new AssertionError(answer.response().body());
+    }
+  }
+
+  /** Returns the incarnation in the load report. */
+  public String incarnation() {
+    return get("/load").json().get("incarnation").asText();
+  }
+
+  /** Waits until the service answers with another incarnation. */
+  public void awaitRestart(String before) {
+    await(() -> !incarnationIfReachable(before).equals(before));
+  }
+
+  private String incarnationIfReachable(String otherwise) {
+    try {
+      HttpResponse<String> response =
+          client.send(request("GET", "/load", ""), BodyHandlers.ofString());
+      return answer(response).json().get("incarnation").asText();
+    } catch (IOException e) {
+      return otherwise;
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Repeats a check until it holds. */
+  public static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + LIMIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("condition does not hold within " + LIMIT);
+      }
+      // Polling without a pause fills the accept queue with connections and delays the close.
+      LockSupport.parkNanos(POLL_NANOS);
+    }
+  }
+
+  private static Answer answer(HttpResponse<String> response) {
+    return new Answer(response.statusCode(), response);
+  }
+
+  @Override
+  public void close() {
+    client.shutdownNow(); // close would wait for streams that a test left open
+    Future.await(VERTX.undeploy(deployment));
+  }
+}
