Keep the shard of a removed backend server while the removal is remembered

Cause: a server that was removed and created again could get another shard, whose owner could admit to it while the owner of the first shard, unaware of the removal, still did. Change: the shard of a removed server is kept with its tombstone. Creating it again gives the same shard; another pool or region, or a shard that filled up in the meantime, makes the command invalid until the tombstone expires.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ReferenceCheck.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ReferenceCheck.java
@@ -62,6 +62,7 @@
                     !known.pool().equals(server.pool()) || !known.domain().equals(server.domain()))
             .orElse(false);
     return !moves
+        && configuration.mayPlace(server)
         && configuration.domain(server.domain()).isPresent()
         && !configuration.any(
             BackendServer.class,
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
@@ -8,12 +8,14 @@
 import java.util.Optional;
 import java.util.function.ToIntFunction;
 import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.ClientAccount;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.ConfigurationObject;
 import org.cactusseam.model.FailureDomain;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.ObjectKind;
 import org.cactusseam.model.PriorityClass;
 import org.cactusseam.model.Route;
 import org.cactusseam.model.ShardId;
@@ -75,10 +77,7 @@
     for (Class<? extends ConfigurationObject> type : TYPES) {
       configuration.all(type).forEach(object -> entries.add(present(configuration, object)));
     }
-    tombstones.forEach(
-        (key, time) ->
-            entries.add(
-                new SnapshotEntry.Tombstone(key, configuration.revision(key).orElseThrow(), time)));
+    tombstones.forEach((key, time) -> entries.add(tombstone(configuration, key, time)));
     commands.forEach(
         (id, command) ->
             entries.add(
@@ -111,6 +110,14 @@
         object, configuration.revision(object.key()).orElseThrow(), shard);
   }
 
+  private static SnapshotEntry tombstone(Configuration configuration, ObjectKey key, long time) {
+    Optional<ShardId> shard =
+        key.kind() == ObjectKind.BACKEND_SERVER
+            ? configuration.rememberedShard(new BackendServerName(key.name()))
+            : Optional.empty();
+    return new SnapshotEntry.Tombstone(key, configuration.revision(key).orElseThrow(), time, shard);
+  }
+
   static Restored restore(List<SnapshotEntry> entries) {
     Configuration configuration = Configuration.EMPTY;
     List<Membership.Entry> members = new ArrayList<>();
@@ -124,7 +131,9 @@
             configuration =
                 configuration.restored(present.value(), present.revision(), present.shard());
         case SnapshotEntry.Tombstone tombstone -> {
-          configuration = configuration.without(tombstone.key(), tombstone.revision());
+          configuration =
+              configuration.restoredRemoval(
+                  tombstone.key(), tombstone.revision(), tombstone.shard());
           tombstones.put(tombstone.key(), tombstone.removedAtMillis());
         }
         case SnapshotEntry.Command command ->
--- a/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
@@ -1,5 +1,6 @@
 package org.cactusseam.model;
 
+import io.vavr.Tuple2;
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import java.util.List;
@@ -68,24 +69,46 @@
   }
 
   private boolean isAssigned(BackendServer server) {
+    return rememberedShard(server.name()).map(shard -> isPlaceOf(shard, server)).orElse(false);
+  }
+
+  private boolean isPlaceOf(ShardId shard, BackendServer server) {
     Optional<RegionName> region = domain(server.domain()).map(FailureDomain::region);
-    return shards
-        .get(server.name())
-        .exists(
-            shard ->
-                shard.pool().equals(server.pool()) && Optional.of(shard.region()).equals(region));
+    return shard.pool().equals(server.pool()) && Optional.of(shard.region()).equals(region);
+  }
+
+  /**
+   * Tells whether a backend server would stay in the shard that it has or had before its removal,
+   * as long as the removal is remembered. A server that moved could be admitted to by two owners
+   * with different views.
+   *
+   * @param server backend server
+   * @return true if it has not been in another shard, and its shard has room
+   */
+  public boolean mayPlace(BackendServer server) {
+    Optional<ShardId> shard = rememberedShard(server.name());
+    return shard.isEmpty()
+        || find(server.key()).isPresent() && isPlaceOf(shard.get(), server)
+        || isPlaceOf(shard.get(), server) && hasRoom(shard.get());
+  }
+
+  private boolean hasRoom(ShardId shard) {
+    int used = 0;
+    for (Tuple2<BackendServerName, ShardId> place : shards) {
+      used += place._2.equals(shard) && server(place._1).isPresent() ? 1 : 0;
+    }
+    return used < ShardId.MAXIMUM_SERVERS;
   }
 
   private Configuration assign(BackendServer server) {
-    Map<BackendServerName, ShardId> others = shards.remove(server.name());
     Optional<FailureDomain> domain = domain(server.domain());
     if (domain.isEmpty()) {
-      return new Configuration(objects, revisions, others);
+      return this;
     }
     java.util.Map<Integer, Integer> used = new java.util.HashMap<>();
-    for (ShardId shard : others.values()) {
-      if (shard.pool().equals(server.pool()) && shard.region().equals(domain.get().region())) {
-        used.merge(shard.index(), 1, Integer::sum);
+    for (Tuple2<BackendServerName, ShardId> place : shards) {
+      if (isPlaceOf(place._2, server) && server(place._1).isPresent()) {
+        used.merge(place._2.index(), 1, Integer::sum);
       }
     }
     int index = 0;
@@ -93,32 +116,57 @@
       index++;
     }
     ShardId shard = new ShardId(server.pool(), domain.get().region(), index);
-    return new Configuration(objects, revisions, others.put(server.name(), shard));
+    return new Configuration(objects, revisions, shards.put(server.name(), shard));
   }
 
   /**
-   * Returns a copy without one object. The revision of the removal stays known.
+   * Returns a copy without one object. The revision of the removal stays known, and for a backend
+   * server its shard.
    *
    * @param key object
    * @param revision log offset of the removal
    * @return the copy
    */
   public Configuration without(ObjectKey key, long revision) {
+    return new Configuration(objects.remove(key), revisions.put(key, revision), shards);
+  }
+
+  /**
+   * Returns a copy with a removed object, as a snapshot states it.
+   *
+   * @param key object that does not exist
+   * @param revision log offset of the removal
+   * @param shard shard that a backend server had
+   * @return the copy
+   */
+  public Configuration restoredRemoval(ObjectKey key, long revision, Optional<ShardId> shard) {
     Map<BackendServerName, ShardId> places =
-        key.kind() == ObjectKind.BACKEND_SERVER
-            ? shards.remove(new BackendServerName(key.name()))
-            : shards;
-    return new Configuration(objects.remove(key), revisions.put(key, revision), places);
+        shard.isPresent() ? shards.put(new BackendServerName(key.name()), shard.get()) : shards;
+    return new Configuration(objects, revisions.put(key, revision), places);
   }
 
   /**
-   * Returns a copy that no longer knows the revision of a removed object.
+   * Returns a copy that no longer knows a removed object.
    *
    * @param key object that does not exist
    * @return the copy
    */
   public Configuration forget(ObjectKey key) {
-    return new Configuration(objects, revisions.remove(key), shards);
+    Map<BackendServerName, ShardId> places =
+        key.kind() == ObjectKind.BACKEND_SERVER
+            ? shards.remove(new BackendServerName(key.name()))
+            : shards;
+    return new Configuration(objects, revisions.remove(key), places);
+  }
+
+  /**
+   * Returns the shard that a backend server has, or had before its removal.
+   *
+   * @param server name
+   * @return the shard, or empty if the server is unknown
+   */
+  public Optional<ShardId> rememberedShard(BackendServerName server) {
+    return shards.get(server).toJavaOptional();
   }
 
   /**
@@ -128,7 +176,7 @@
    * @return the shard, or empty if the server does not exist
    */
   public Optional<ShardId> shardOf(BackendServerName server) {
-    return shards.get(server).toJavaOptional();
+    return server(server).isPresent() ? rememberedShard(server) : Optional.empty();
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/SnapshotEntry.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/SnapshotEntry.java
@@ -46,8 +46,10 @@
    * @param key object
    * @param revision offset of the removal
    * @param removedAtMillis time of the removal, as the log states it
+   * @param shard shard that a backend server had; empty for other kinds
    */
-  record Tombstone(ObjectKey key, long revision, long removedAtMillis) implements SnapshotEntry {}
+  record Tombstone(ObjectKey key, long revision, long removedAtMillis, Optional<ShardId> shard)
+      implements SnapshotEntry {}
 
   /**
    * A remembered command.
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/control/ControlStateTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/control/ControlStateTest.java
@@ -54,8 +54,6 @@
   static Stream<Arguments> changes() {
     ControlRecord create = put("c0", -1, GOLD);
     ControlRecord account = put("c1", -1, account("acme", "gold", 1));
-    ControlRecord domain = put("c0", -1, EAST);
-    ControlRecord server = put("c1", -1, ENGINE_SERVER);
     return Stream.of(
         arguments("create", List.of(create), List.of(ACCEPTED)),
         arguments(
@@ -83,7 +81,13 @@
         arguments(
             "remove used class",
             List.of(create, account, remove("c2", 0, GOLD.key())),
-            List.of(ACCEPTED, ACCEPTED, INVALID)),
+            List.of(ACCEPTED, ACCEPTED, INVALID)));
+  }
+
+  static Stream<Arguments> serverChanges() {
+    ControlRecord domain = put("c0", -1, EAST);
+    ControlRecord server = put("c1", -1, ENGINE_SERVER);
+    return Stream.of(
         arguments("server without domain", List.of(server), List.of(INVALID)),
         arguments(
             "remove used domain",
@@ -97,6 +101,19 @@
             "move server to another pool",
             List.of(domain, server, put("c2", 1, server("s", "other", "east-1", ENGINE))),
             List.of(ACCEPTED, ACCEPTED, INVALID)),
+        arguments(
+            "create a removed server in the same pool",
+            List.of(
+                domain, server, remove("c2", 1, ENGINE_SERVER.key()), put("c3", 2, ENGINE_SERVER)),
+            List.of(ACCEPTED, ACCEPTED, ACCEPTED, ACCEPTED)),
+        arguments(
+            "create a removed server in another pool",
+            List.of(
+                domain,
+                server,
+                remove("c2", 1, ENGINE_SERVER.key()),
+                put("c3", 2, server("s", "other", "east-1", ENGINE))),
+            List.of(ACCEPTED, ACCEPTED, ACCEPTED, INVALID)),
         arguments(
             "pool of two kinds",
             List.of(domain, server, put("c2", -1, server("t", "pool", "east-1", PLAIN))),
@@ -108,7 +125,7 @@
   }
 
   @ParameterizedTest(name = "{0}")
-  @MethodSource("changes")
+  @MethodSource({"changes", "serverChanges"})
   void changes_are_judged_by_revision_identity_and_references(
       String name, List<ControlRecord> records, List<Verdict> expected) {
     assertThat(applied(new ControlState(), records), is(expected));
@@ -199,6 +216,7 @@
         .forEach(number -> records.add(put("c" + number, -1, engine("s" + number))));
     records.add(put("a", -1, engine("a")));
     records.add(remove("r", 1, engine("s10").key()));
+    records.add(put("f", 18, engine("a")));
     records.add(put("b", -1, engine("b")));
 
     applied(state, records);
@@ -206,6 +224,8 @@
     assertThat(shardOf(state, "s26"), is(1));
     assertThat(shardOf(state, "a"), is(1));
     assertThat(shardOf(state, "b"), is(0));
+    Verdict again = state.apply(state.nextOffset(), put("e", 19, engine("s10")));
+    assertThat("its shard is full", again, is(INVALID));
   }
 
   private static ConfigurationObject engine(String name) {
