Let the tests of class order and of waiting classes fail without them

Cause: AdmissionShardTest was run once with each mechanism switched off. It passed without WAITING_YIELDS, which no test covered, and the test of class order passed without PRIORITY_ORDER, because fair shares gave the same order. Change: a test for the margin of classes that may wait; the test of class order runs without fair shares.

--- a/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
@@ -158,17 +158,28 @@
 
   @Test
   void a_higher_class_is_served_first() {
-    fixture.server("zopf-1", 1, 1, 1_000_000).warm();
-    Permit running = fixture.askMany("batch", 1).getFirst();
-    PermitRequest batch = fixture.request("batch");
-    PermitRequest premium = fixture.request("premium");
-    shard.request(batch);
-    shard.request(premium);
-    shard.drain();
+    ShardFixture ranked = ShardFixture.with(Mechanism.PRIORITY_ORDER);
+    ranked.server("zopf-1", 1, 1, 1_000_000).warm();
+    Permit running = ranked.askMany("batch", 1).getFirst();
+    PermitRequest batch = ranked.request("batch");
+    PermitRequest premium = ranked.request("premium");
+    ranked.shard.request(batch);
+    ranked.shard.request(premium);
+    ranked.shard.drain();
+
+    ranked.shard.ended(running.id(), AttemptEnd.COMPLETED, 10);
+
+    assertThat(ranked.grants().getFirst().id(), is(premium.id()));
+  }
 
-    shard.ended(running.id(), AttemptEnd.COMPLETED, 10);
+  @ParameterizedTest(name = "{0} gets {1} of the last 2 slots")
+  @CsvSource({"batch, 0", "standard, 2"})
+  void classes_that_may_wait_leave_a_margin_to_watched_streams(String account, int expected) {
+    ShardFixture busy = new ShardFixture(AdmissionSettings.zopfwerk().withReservedPart(0));
+    busy.server("zopf-1", 10, 20, 1_000_000).warm();
+    fill(busy, "other", 18);
 
-    assertThat(fixture.grants().getFirst().id(), is(premium.id()));
+    assertThat(busy.askMany(account, 2), hasSize(expected));
   }
 
   @Test
