Compare suspicions by digest and derive verdicts only after a change

Cause: every ping would merge up to 70 KB and derive all verdicts again, although servers crash rarely.

Change: learnedDigest notes a peer with an equal digest as one that knows the same crashes, and tells when to send the value. A merge that changes nothing ends after the comparison.

The test fails with a constant digest and with a digest that does not count as knowledge.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/quarantine/QuarantineTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/quarantine/QuarantineTable.java
@@ -53,6 +53,7 @@
   private final Clock clock;
   private final Map<NodeName, Set<CrashId>> knownBy = new HashMap<>();
   private Suspicions suspicions = Suspicions.NONE;
+  private long digest = digestOf(Suspicions.NONE);
   private Set<String> suspects = Set.of();
   private Set<String> convicted = Set.of();
 
@@ -111,10 +112,29 @@
    * @param theirs its value
    */
   public void learned(NodeName peer, Suspicions theirs) {
-    knownBy.put(peer, theirs.crashes().stream().map(CrashReport::id).collect(Collectors.toSet()));
+    knownBy.put(peer, identities(theirs));
     update(suspicions.merge(theirs));
   }
 
+  /**
+   * Notes the digest that a peer's ping or pong carries.
+   *
+   * @param peer peer
+   * @param theirs digest of its value
+   * @return whether the peer's value differs, so that this node sends it {@link #suspicions}
+   */
+  public boolean learnedDigest(NodeName peer, long theirs) {
+    if (theirs != digest) {
+      return true;
+    }
+    knownBy.put(peer, identities(suspicions));
+    return false;
+  }
+
+  private static Set<CrashId> identities(Suspicions value) {
+    return value.crashes().stream().map(CrashReport::id).collect(Collectors.toSet());
+  }
+
   /** Lets time pass: forgets what is older than {@link #MEMORY}. */
   public void tick() {
     update(suspicions);
@@ -122,11 +142,15 @@
 
   private void update(Suspicions next) {
     Suspicions current = current(next);
+    if (current.equals(suspicions)) {
+      return; // what follows depends on the value alone
+    }
     long memory = MEMORY.toMillis();
     List<Conviction> found = new ArrayList<>();
     Verdicts.causes(current.crashes())
         .forEach((cause, last) -> found.add(new Conviction(cause, last + memory)));
     suspicions = current.merge(new Suspicions(List.of(), found));
+    digest = digestOf(suspicions);
     convicted =
         suspicions.convictions().stream().map(Conviction::fingerprint).collect(Collectors.toSet());
     suspects = Verdicts.suspects(suspicions.crashes(), convicted);
@@ -214,6 +238,10 @@
    * @return hash; equal values have equal hashes on every VM
    */
   public long digest() {
-    return Hashing.murmur3_128().hashUnencodedChars(suspicions.toString()).asLong();
+    return digest;
+  }
+
+  private static long digestOf(Suspicions value) {
+    return Hashing.murmur3_128().hashUnencodedChars(value.toString()).asLong();
   }
 }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/quarantine/QuarantineTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/quarantine/QuarantineTableTest.java
@@ -183,9 +183,10 @@
     assertThat(table.isSpread(crash, List.of(first, second)), is(false));
 
     QuarantineTable other = new QuarantineTable(second, clock);
+    assertThat(table.learnedDigest(second, other.digest()), is(true));
     other.learned(first, table.suspicions());
-    assertThat(other.digest(), is(table.digest()));
-    table.learned(second, other.suspicions());
+    assertThat(table.isSpread(crash, List.of(first, second)), is(false));
+    assertThat(table.learnedDigest(second, other.digest()), is(false));
     assertThat(table.isSpread(crash, List.of(first, second)), is(true));
 
     CrashId next = table.crashed(new BackendServerName("s2"), "run", List.of("y"));
