Bound the former incarnations that a shard remembers

Cause: a server that restarts in a loop made the set grow without bound. Change: the last 8 are kept, since only lagged reports refer to them.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
@@ -1,9 +1,8 @@
 package org.cactusseam.logic.admission;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.admission.BackendCondition;
 import org.cactusseam.model.admission.LoadReport;
@@ -21,6 +20,9 @@
   /** Time in which an engine computes the prompts that were just sent; a few steps. */
   private static final long RECENT_MILLIS = 100;
 
+  /** Restarts that a lagged report can miss; a server that crashes in a loop stays bounded. */
+  private static final int FORMER_INCARNATIONS = 8;
+
   final List<Attempt> attempts = new ArrayList<>();
   final PrefixCacheView cache = new PrefixCacheView();
   final CircuitBreaker breaker;
@@ -29,7 +31,7 @@
   private final Ramp ramp;
   private final MemoryForecast forecast = new MemoryForecast();
   private final MemoryForecast firmForecast = new MemoryForecast();
-  private final Set<String> formerIncarnations = new HashSet<>();
+  private final LinkedHashSet<String> formerIncarnations = new LinkedHashSet<>();
   private final Orphans orphans = new Orphans();
   private BackendServer description;
   private boolean inService;
@@ -267,6 +269,9 @@
     boolean restarted = incarnation != null;
     if (restarted) {
       formerIncarnations.add(incarnation);
+      if (formerIncarnations.size() > FORMER_INCARNATIONS) {
+        formerIncarnations.removeFirst();
+      }
       cache.clear();
     }
     incarnation = name;
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
@@ -84,6 +84,20 @@
     assertThat(fixture.askMany("premium", 3), is(empty()));
   }
 
+  /** Guards against a late report that makes a restarted server look like its former run. */
+  @Test
+  void a_report_of_a_former_incarnation_is_ignored() {
+    fixture.server("zopf-1", 1, 50, 1_000_000).warm();
+    BackendCondition restarted = new BackendCondition("run-2", true);
+    shard.loadReport(fixture.name(0), report(restarted, 0));
+
+    shard.loadReport(fixture.name(0), report(WARM, 0));
+    shard.loadReport(fixture.name(0), report(WARM, 0));
+
+    assertThat(shard.load().limit(), is(1));
+    assertThat(shard.servers().iterator().next().cold(), is(true));
+  }
+
   @ParameterizedTest(name = "after {0} ms: limit {1}")
   @CsvSource({"0, 2", "250, 4", "500, 8", "1000, 32"})
   void the_limit_rises_in_steps_after_warm_up(long millis, int limit) {
