Hand a shard over at once when a record gives it to another node

Change: an owner that applies the record by which it loses a shard stops and sends the new owner a handover with the epoch of that record. It ends the wait for that epoch only; a lost message costs the wait.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
@@ -23,6 +23,7 @@
 import org.cactusseam.model.control.MemberStanding;
 import org.cactusseam.model.control.PeerStatus;
 import org.cactusseam.model.control.RunId;
+import org.cactusseam.model.control.ShardOwner;
 
 /**
  * Membership, failure detection and the lease of one node. It decides which shards the node owns
@@ -103,8 +104,23 @@
       appends.keySet().removeIf(record -> !isPending(record));
     }
     peers.caughtUp(nextOffset);
+    Set<ShardId> startedBefore = Set.copyOf(tenures.started().keySet());
     tenures.changed(state.owners(), skipped, run(), now);
     updateTenures(now);
+    startedBefore.stream()
+        .filter(shard -> !tenures.owned().containsKey(shard))
+        .sorted()
+        .forEach(this::handOverToNewOwner);
+  }
+
+  /** Saves the new owner the wait; if the message is lost, it waits. */
+  private void handOverToNewOwner(ShardId shard) {
+    Optional<ShardOwner> owner = tenures.ownerByLog(shard);
+    if (owner.isPresent()) {
+      RunId to = owner.get().run();
+      Handover handover = new Handover(shard, to, owner.get().epoch(), run(), to, Set.of());
+      actions.add(new MembershipAction.SendHandover(handover));
+    }
   }
 
   /**
@@ -177,7 +193,15 @@
    * @param handover handover
    */
   public void handoverReceived(Handover handover) {
-    if (leaving || !handover.to().equals(run()) || !isActive()) {
+    if (leaving || !handover.to().equals(run())) {
+      return;
+    }
+    if (handover.followsRecord()) {
+      tenures.releasedByRecord(handover);
+      updateTenures(clock.instant());
+      return;
+    }
+    if (!isActive()) {
       return;
     }
     tenures.handoverReceived(handover, run());
@@ -210,8 +234,9 @@
   }
 
   private Handover handover(ShardId shard, RunId to) {
-    RunId owner = tenures.ownerByLog(shard).orElseThrow().run();
-    return new Handover(shard, owner, run(), to, tenures.releasedBy(shard, run()));
+    ShardOwner owner = tenures.ownerByLog(shard).orElseThrow();
+    Set<RunId> released = tenures.releasedBy(shard, run());
+    return new Handover(shard, owner.run(), owner.epoch(), run(), to, released);
   }
 
   private Optional<RunId> successor(ShardId shard) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/Tenures.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/Tenures.java
@@ -26,6 +26,7 @@
   private final MembershipSettings settings;
   private final Map<ShardId, Map<RunId, Instant>> predecessors = new HashMap<>();
   private final Map<ShardId, Set<RunId>> released = new HashMap<>();
+  private final Map<ShardId, Handover> releasedByRecord = new HashMap<>();
   private final Map<ShardId, RunId> standingInFor = new HashMap<>();
   private final Map<ShardId, Long> started = new TreeMap<>();
   private final Map<ShardId, Long> owned = new HashMap<>();
@@ -49,6 +50,7 @@
           previous
               .map(ShardOwner::run)
               .filter(run -> !run.equals(self))
+              .filter(run -> !isReleased(shard, run, entry.getValue()))
               .ifPresent(run -> block(shard, run, until));
         }
       }
@@ -57,6 +59,29 @@
     refresh(self);
   }
 
+  private boolean isReleased(ShardId shard, RunId run, Optional<ShardOwner> successor) {
+    Handover handover = releasedByRecord.get(shard);
+    return handover != null
+        && handover.from().equals(run)
+        && successor.map(owner -> owner.epoch() == handover.epoch()).orElse(false);
+  }
+
+  /**
+   * Notes that the run that lost a shard by a record has applied the record and stopped. It may
+   * come before this node applies the record. It says nothing about later epochs of the same run.
+   */
+  void releasedByRecord(Handover handover) {
+    Handover known = releasedByRecord.get(handover.shard());
+    if (known != null && known.epoch() > handover.epoch()) {
+      return;
+    }
+    releasedByRecord.put(handover.shard(), handover);
+    Optional<ShardOwner> owner = owners.of(handover.shard());
+    if (owner.map(found -> found.epoch() == handover.epoch()).orElse(false)) {
+      predecessors.getOrDefault(handover.shard(), new HashMap<>()).remove(handover.from());
+    }
+  }
+
   private void block(ShardId shard, RunId run, Instant until) {
     if (!released.getOrDefault(shard, Set.of()).contains(run)) {
       predecessors.computeIfAbsent(shard, key -> new HashMap<>()).put(run, until);
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/membership/OwnershipTraceTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/membership/OwnershipTraceTest.java
@@ -161,6 +161,19 @@
     assertThat(granting("a", 0), is(not(empty())));
   }
 
+  @Test
+  void an_owner_hands_over_at_once_to_a_node_that_was_activated() {
+    cluster.addNode("n3", "b");
+    cluster.run(10_000);
+    SimulatedNode joiner = cluster.addNode("n5", "b");
+    until(5_000, () -> isStanding(joiner, joiner, MemberStanding.ACTIVE));
+    cluster.run(300);
+
+    assertThat(cluster.unserved(), is(empty()));
+    assertThat(granting("b", 1), is(List.of(joiner.name)));
+    assertThat(cluster.violations(), is(empty()));
+  }
+
   @Test
   void a_leaving_owner_names_another_successor_only_after_the_end_of_the_first_is_proven() {
     List.of("n0", "n1", "n2").forEach(name -> cluster.addNode(name, "a"));
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/membership/TenuresTest.java
@@ -0,0 +1,57 @@
+package org.cactusseam.logic.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusseam.logic.control.ShardOwners;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.PoolName;
+import org.cactusseam.model.RegionName;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.control.Handover;
+import org.cactusseam.model.control.RunId;
+import org.cactusseam.model.control.ShardOwner;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a late handover of an earlier epoch that ends the wait for a later one. */
+class TenuresTest {
+
+  private static final ShardId SHARD = new ShardId(new PoolName("p"), new RegionName("r"), 0);
+  private static final RunId FIRST = new RunId(new NodeName("n1"), "b1");
+  private static final RunId SECOND = new RunId(new NodeName("n2"), "b1");
+
+  @ParameterizedTest(name = "handover of epoch {0}, before the record {1}: {2}")
+  @CsvSource({
+    "10, false, true",
+    "10, true, true",
+    "5, false, false",
+    "5, true, false",
+    "20, false, false",
+    "20, true, false"
+  })
+  void only_a_handover_of_the_current_epoch_ends_the_wait(
+      long epoch, boolean before, boolean clear) {
+    Tenures tenures = new Tenures(MembershipSettings.DEFAULT);
+    Handover handover = new Handover(SHARD, SECOND, epoch, FIRST, SECOND, Set.of());
+    tenures.changed(owned(FIRST, 7), false, SECOND, Instant.EPOCH);
+    if (before) {
+      tenures.releasedByRecord(handover);
+    }
+    tenures.changed(owned(SECOND, 10), false, SECOND, Instant.EPOCH);
+    if (!before) {
+      tenures.releasedByRecord(handover);
+    }
+
+    assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusSeconds(4)), is(clear));
+    assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusSeconds(5)), is(true));
+  }
+
+  private static ShardOwners owned(RunId run, long epoch) {
+    return new ShardOwners(Map.of(SHARD, Optional.of(new ShardOwner(run, epoch))));
+  }
+}
