Choose shards by expected wait in the daemon as in the replay

Cause: the daemon tried the shards of its region first and the others only after a refusal, while the replay measured a rule by expected wait. Change: owners publish the load of their shards four times a second, and a request asks the shard with the lowest cost; daemon and replay share the formula. Load reports are read four times a second, as the admission rules expect.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -27,6 +27,7 @@
 import org.cactusseam.model.admission.Permit;
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.admission.ShardLoad;
 
 /**
  * Decides when and where the requests of a shard run. All requests for the shard's backend servers
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/Owner.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/Owner.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.cactusseam.logic.admission.AdmissionShard;
-import org.cactusseam.logic.admission.ShardLoad;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.AdmissionDecision;
 import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.admission.ShardLoad;
 
 /** Owner of one shard in a replay: passes inputs to the shard and its decisions to requesters. */
 final class Owner {
@@ -22,15 +22,14 @@
    * Wait that stands for one complete load of the servers where engines keep the queue and no wait
    * is known; close to the run time of a request.
    */
-  private static final double MILLIS_PER_FULL_LOAD = 1_000;
-
   final ShardId id;
+
   final String region;
   private final EventQueue queue;
   private final AdmissionShard shard;
   private final List<SimulatedServer> servers = new ArrayList<>();
   private final Map<PermitRequestId, Consumer<AdmissionDecision>> requesters = new HashMap<>();
-  private ShardLoad published = new ShardLoad(0, 0, 0, 0, List.of());
+  private ShardLoad published = new ShardLoad(0, 0, 0, 0, List.of(0L));
   private int sentSincePublished;
 
   Owner(ShardId id, EventQueue queue, PausedClock clock, ReplaySettings settings) {
@@ -58,19 +57,9 @@
     sentSincePublished++;
   }
 
-  /** Tells whether servers were in service when the load was published. */
-  boolean usable() {
-    return published.limit() > 0;
-  }
-
   /** Returns the wait that requesters expect from the published load, in milliseconds. */
   double expectedWait(int rank) {
-    if (published.open() > published.limit()) {
-      double open = published.open() + sentSincePublished;
-      return open / published.limit() * MILLIS_PER_FULL_LOAD;
-    }
-    double wait = published.waitMillisByRank().get(rank);
-    return wait == 0 ? 0 : wait + sentSincePublished * published.millisPerAttempt();
+    return published.expectedWaitMillis(rank, sentSincePublished);
   }
 
   void configure(Configuration configuration, long epoch) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayNetwork.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayNetwork.java
@@ -3,20 +3,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.cactusseam.logic.admission.RegionChoice;
 import org.jspecify.annotations.Nullable;
 
 /** Latencies, owners and meters that the requests of a replay share. */
 final class ReplayNetwork {
 
-  /**
-   * Additional wait from which a request leaves its region. Shorter waits do not pay for the
-   * latency and the billed volume between regions.
-   */
-  private static final double SPILL_MILLIS = 1_000;
-
-  /** The wait elsewhere must be shorter by this factor, because the published waits lag. */
-  private static final double SPILL_FACTOR = 2;
-
   private static final int LOWEST_RANK = 9;
 
   private final EventQueue queue;
@@ -69,8 +61,8 @@
       if (refusedBy.contains(owner.region)) {
         continue;
       }
-      double wait = owner.usable() ? owner.expectedWait(rank) : Double.MAX_VALUE;
-      double cost = owner.region.equals(region) ? wait : wait * SPILL_FACTOR + SPILL_MILLIS;
+      double wait = owner.expectedWait(rank);
+      double cost = RegionChoice.cost(wait, owner.region.equals(region));
       if (cost < bestWait) {
         best = owner;
         bestWait = cost;
--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -11,6 +11,7 @@
 import org.cactusseam.model.admission.Permit;
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.admission.ShardLoad;
 import org.cactusseam.model.claim.ClaimAnswer;
 import org.cactusseam.model.claim.ClaimId;
 import org.cactusseam.model.claim.ClaimKey;
@@ -39,6 +40,7 @@
   @JsonSubTypes.Type(value = PeerMessage.RestrictionAnswer.class, name = "restriction-answer"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimQuestion.class, name = "claim-question"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimReply.class, name = "claim-reply"),
+  @JsonSubTypes.Type(value = PeerMessage.Loads.class, name = "loads"),
   @JsonSubTypes.Type(value = PeerMessage.AskPermit.class, name = "ask"),
   @JsonSubTypes.Type(value = PeerMessage.Decided.class, name = "decided"),
   @JsonSubTypes.Type(value = PeerMessage.Confirmed.class, name = "confirmed"),
@@ -259,4 +261,25 @@
    * @param answer what the sender knows of it
    */
   record ClaimReply(ClaimId asker, ClaimId claim, ClaimAnswer answer) implements PeerMessage {}
+
+  /**
+   * Loads of the shards that the sender owns, so that requesters can choose between shards.
+   *
+   * @param loads one entry for each shard
+   */
+  record Loads(List<LoadOf> loads) implements PeerMessage {
+
+    /** Copies the list. */
+    public Loads {
+      loads = List.copyOf(loads);
+    }
+  }
+
+  /**
+   * Load of one shard.
+   *
+   * @param shard shard
+   * @param load summary
+   */
+  record LoadOf(ShardId shard, ShardLoad load) {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
@@ -115,6 +115,7 @@
             settings,
             plane::view,
             plane.admission(),
+            plane.loads(),
             plane.claims(),
             active,
             new AttemptIds(self.node(), self.boot()),
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
@@ -87,7 +87,12 @@
         ShardOrder.order(
             services.view().get().shards().shardsOf(info.route().pool()),
             services.settings().region(),
-            affinity);
+            affinity,
+            shard -> services.loads().expectedWaitMillis(shard, rank()));
+  }
+
+  private int rank() {
+    return services.view().get().rankOf(info.account().priorityClass());
   }
 
   /** Asks for the first permit. */
@@ -128,6 +133,7 @@
             patience.toMillis(),
             excluded,
             info.fingerprint());
+    services.loads().sent(shards.get(shardIndex));
     services.admission().ask(request, this::answered);
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServices.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServices.java
@@ -6,6 +6,7 @@
 import org.cactusseam.edge.control.AdmissionClient;
 import org.cactusseam.edge.control.ClaimClient;
 import org.cactusseam.edge.control.RoutingView;
+import org.cactusseam.edge.control.ShardLoads;
 import org.cactusseam.edge.metrics.RequestMetrics;
 import org.cactusseam.edge.settings.Settings;
 
@@ -17,6 +18,7 @@
  * @param settings settings
  * @param view current configuration
  * @param admission admission
+ * @param loads loads of the shards
  * @param claims claims of requests that must not run twice
  * @param active requests that are served
  * @param ids source of identities
@@ -28,6 +30,7 @@
     Settings settings,
     Supplier<RoutingView> view,
     AdmissionClient admission,
+    ShardLoads loads,
     ClaimClient claims,
     ActiveRequests active,
     AttemptIds ids,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -13,7 +13,6 @@
 import org.cactusseam.edge.backend.GenerationRelay;
 import org.cactusseam.edge.backend.Headers;
 import org.cactusseam.logic.stream.GenerationId;
-import org.cactusseam.model.PriorityClass;
 import org.cactusseam.model.Refusal;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.admission.AttemptEnd;
@@ -136,7 +135,9 @@
     }
     request.putHeader("Content-Type", "application/json");
     request.putHeader(Headers.STREAM, streamOf(attempt));
-    request.putHeader(Headers.PRIORITY, Integer.toString(rank()));
+    request.putHeader(
+        Headers.PRIORITY,
+        Integer.toString(services.view().get().rankOf(info.account().priorityClass())));
     request.putHeader(Headers.FENCING_NUMBER, Long.toString(attempt.permit().epoch()));
     Future<HttpClientResponse> response = request.send(body.toBuffer());
     response
@@ -152,16 +153,6 @@
         + attempt.permit().id().sequence();
   }
 
-  private int rank() {
-    return services
-        .view()
-        .get()
-        .configuration()
-        .priorityClass(info.account().priorityClass())
-        .map(PriorityClass::rank)
-        .orElse(9);
-  }
-
   private void notSent(AttemptLoop.Attempt attempt, Throwable cause) {
     boolean unreachable = cause instanceof ConnectException;
     attempts.end(attempt.permit(), unreachable ? AttemptEnd.BROKEN : AttemptEnd.NOT_SENT, 0);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -50,7 +50,7 @@
   private static final Logger LOG = Logger.getLogger(ControlPlane.class);
   private static final long DECISION_INTERVAL_MILLIS = 50;
   private static final long INVENTORY_INTERVAL_MILLIS = 1_000;
-  private static final long LOAD_INTERVAL_MILLIS = 500;
+  private static final long LOAD_INTERVAL_MILLIS = 250;
   private static final long LIST_INTERVAL_MILLIS = 1_000;
   private static final long SLOW_INTERVAL_MILLIS = 2_000;
 
@@ -68,6 +68,7 @@
   private final Map<ShardId, Handover> standIns = new HashMap<>();
   private final PermitRouter router;
   private final OwnedShards owned;
+  private final ShardLoads shardLoads = new ShardLoads();
   private final PeerQueries queries;
   private final CommandDesk commands;
   private final ClaimDesk claims;
@@ -349,7 +350,16 @@
     configureShards();
   }
 
+  private void publishLoads() {
+    List<PeerMessage.LoadOf> loads = owned.loads();
+    if (!loads.isEmpty()) {
+      shardLoads.published(loads);
+      network.peers().forEach(peer -> network.send(peer, new PeerMessage.Loads(loads)));
+    }
+  }
+
   private void pollLoads() {
+    publishLoads();
     for (ShardId shard : List.copyOf(owned.owned())) {
       for (BackendServer server : view.shards().shards().getOrDefault(shard, List.of())) {
         loads.poll(server).onSuccess(report -> owned.loadReport(shard, server.name(), report));
@@ -395,6 +405,7 @@
       case PeerMessage.Ended ended -> owned.ended(ended);
       case PeerMessage.Inventory inventory -> owned.inventory(from.node(), inventory);
       case PeerMessage.Adopt adopt -> owned.adopt(adopt);
+      case PeerMessage.Loads loads -> shardLoads.published(loads.loads());
       case PeerMessage.QueryRequest query -> queries.answer(from.node(), query);
       case PeerMessage.QueryReply reply -> queries.received(reply);
       default -> receivedMembership(from, message);
@@ -503,6 +514,15 @@
     return router;
   }
 
+  /**
+   * Returns the loads of all shards; for all threads.
+   *
+   * @return loads
+   */
+  public ShardLoads loads() {
+    return shardLoads;
+  }
+
   /**
    * Returns claims for traffic threads.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -83,6 +83,14 @@
     deliver();
   }
 
+  /** Loads of the shards that this daemon may grant for. */
+  List<PeerMessage.LoadOf> loads() {
+    return shards.entrySet().stream()
+        .filter(entry -> mayGrant.test(entry.getKey()))
+        .map(entry -> new PeerMessage.LoadOf(entry.getKey(), entry.getValue().load()))
+        .toList();
+  }
+
   Set<ShardId> owned() {
     return shards.keySet();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RoutingView.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RoutingView.java
@@ -8,6 +8,8 @@
 import org.cactusseam.model.BackendKind;
 import org.cactusseam.model.ClientAccount;
 import org.cactusseam.model.Configuration;
+import org.cactusseam.model.PriorityClass;
+import org.cactusseam.model.PriorityClassName;
 import org.cactusseam.model.Route;
 
 /**
@@ -16,6 +18,8 @@
  */
 public final class RoutingView {
 
+  private static final int LOWEST_RANK = 9;
+
   /** View before the first configuration. */
   public static final RoutingView EMPTY = new RoutingView(Configuration.EMPTY);
 
@@ -47,6 +51,16 @@
     return configuration;
   }
 
+  /**
+   * Returns the rank of a priority class.
+   *
+   * @param name name
+   * @return rank; the lowest if the class does not exist
+   */
+  public int rankOf(PriorityClassName name) {
+    return configuration.priorityClass(name).map(PriorityClass::rank).orElse(LOWEST_RANK);
+  }
+
   /**
    * Returns the admission shards.
    *
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.UUID;
 import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -35,6 +36,11 @@
 import org.cactusseam.model.admission.Permit;
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.admission.ShardLoad;
+import org.cactusseam.model.claim.ClaimAnswer;
+import org.cactusseam.model.claim.ClaimId;
+import org.cactusseam.model.claim.ClaimKey;
+import org.cactusseam.model.claim.StoredAnswer;
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.Handover;
 import org.cactusseam.model.control.Member;
@@ -77,7 +83,11 @@
               new FailureDomain(
                   new FailureDomainName("ost-wien"), new RegionName("ost"), ServiceState.OUT)),
           "operator");
-  private static final Handover HANDOVER = new Handover(SHARD, RUN, RUN, RUN, Set.of(RUN));
+  private static final ClaimId CLAIM = new ClaimId(new NodeName("entry-1"), "b1", 3);
+  private static final ClaimKey CLAIM_KEY =
+      new ClaimKey(
+          new AccountName("salon"), UUID.fromString("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"));
+  private static final Handover HANDOVER = new Handover(SHARD, RUN, 12, RUN, RUN, Set.of(RUN));
   private static final PermitRequest REQUEST =
       new PermitRequest(
           ATTEMPT,
@@ -114,6 +124,13 @@
         new PeerMessage.HandOverAccepted(HANDOVER),
         new PeerMessage.StandIn(HANDOVER),
         new PeerMessage.Restriction(CHANGE),
+        new PeerMessage.Loads(
+            List.of(new PeerMessage.LoadOf(SHARD, new ShardLoad(1, 2, 3, 4.5, List.of(6L, 7L))))),
+        new PeerMessage.ClaimQuestion(CLAIM, CLAIM_KEY, CLAIM),
+        new PeerMessage.ClaimReply(
+            CLAIM,
+            CLAIM,
+            new ClaimAnswer.Stored(new StoredAnswer(200, "text/plain", new byte[] {1, 2}))),
         new PeerMessage.RestrictionAnswer("c1", new NodeName("entry-1"), true),
         new PeerMessage.AskPermit(REQUEST, 3),
         new PeerMessage.Decided(
@@ -171,7 +188,7 @@
 
   @Property(tries = 10_000, seed = "4712")
   void changed_bytes_of_a_message_never_raise_an_exception(
-      @ForAll @IntRange(max = 23) int index, @ForAll int position, @ForAll byte replacement) {
+      @ForAll @IntRange(max = 26) int index, @ForAll int position, @ForAll byte replacement) {
     PeerMessage message = messages().toList().get(index);
     Buffer frame = PeerCodec.encode(message);
     byte[] value = frame.getBytes(PeerCodec.LENGTH_BYTES, frame.length());
@@ -182,7 +199,7 @@
 
   @Property(tries = 10_000, seed = "4713")
   void frames_do_not_depend_on_how_the_bytes_are_cut(
-      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 23) Integer> indexes,
+      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 26) Integer> indexes,
       @ForAll @IntRange(min = 1, max = 40) int cut) {
     List<PeerMessage> sent = indexes.stream().map(messages().toList()::get).toList();
     Buffer bytes = Buffer.buffer();
