Shut down by the tested state machine and replay from the command line

Cause: the signal handler had its own rules for leaving, which did not know waiting requests, requests that cannot be resumed or a third signal, and `cactusseam replay` was not connected. Change: the shutdown coordinator decides, fed with counts of open requests, the state of the log and of the handovers. `cactusseam replay` reads or generates a trace and compares the preset with the baselines.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
@@ -532,6 +532,15 @@
     return leaving && handovers.isEmpty() && own.isEmpty();
   }
 
+  /**
+   * Counts the shards that a successor has not accepted yet.
+   *
+   * @return shards
+   */
+  public int pendingHandovers() {
+    return handovers.size();
+  }
+
   /**
    * Returns the actions since the last call, in order.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/Main.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/Main.java
@@ -43,6 +43,7 @@
                 new QueryCommand(),
                 new OrderCommand(),
                 new CallCommand(),
+                new ReplayCommand(new PolicyReplay()),
                 new VersionCommand()));
     ExitCode code = main.run(arguments, new Terminal(System.out, System.err));
     System.exit(code.number());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/ReplayCommand.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/ReplayCommand.java
@@ -2,9 +2,11 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -12,6 +14,9 @@
 import joptsimple.util.PathConverter;
 import org.cactusseam.edge.answer.OperatorAnswer;
 import org.cactusseam.logic.query.AnswerTable;
+import org.cactusseam.logic.replay.TraceFormat;
+import org.cactusseam.logic.replay.TraceGenerator;
+import org.cactusseam.logic.replay.TraceShape;
 
 /** Replays a trace of requests against models of the engines and compares policies. */
 public final class ReplayCommand implements Subcommand {
@@ -22,8 +27,27 @@
           .accepts("trace", "file with the trace")
           .withRequiredArg()
           .withValuesConvertedBy(new PathConverter())
-          .describedAs("FILE")
-          .required();
+          .describedAs("FILE");
+  private final OptionSpec<String> shape =
+      parser
+          .accepts("shape", "generates a trace instead: calm, crowded or burst")
+          .requiredUnless(trace)
+          .withRequiredArg()
+          .describedAs("SHAPE");
+  private final OptionSpec<Void> faults =
+      parser.accepts("faults", "a generated trace has a failure domain out and cold servers");
+  private final OptionSpec<Path> save =
+      parser
+          .accepts("save", "file to which a generated trace is written")
+          .withRequiredArg()
+          .withValuesConvertedBy(new PathConverter())
+          .describedAs("FILE");
+  private final OptionSpec<String> deployment =
+      parser
+          .accepts("deployment", "deployment that is replayed: zopfwerk or flagline")
+          .withRequiredArg()
+          .describedAs("NAME")
+          .defaultsTo("zopfwerk");
   private final OptionSpec<String> policies =
       parser
           .accepts("policy", "policies to compare, separated by commas; all if left out")
@@ -43,10 +67,11 @@
    * What is to be replayed.
    *
    * @param trace lines of the trace
+   * @param deployment name of the deployment
    * @param policies names of policies; empty means all
    * @param seed seed of the random numbers
    */
-  public record Request(List<String> trace, List<String> policies, long seed) {
+  public record Request(List<String> trace, String deployment, List<String> policies, long seed) {
 
     /** Copies the lists. */
     public Request {
@@ -94,13 +119,12 @@
 
   @Override
   public ExitCode run(OptionSet options, Terminal terminal) {
-    List<String> lines;
-    try {
-      lines = Files.readAllLines(options.valueOf(trace), StandardCharsets.UTF_8);
-    } catch (IOException e) {
-      throw new UsageException("--trace cannot be read as UTF-8 text: " + options.valueOf(trace));
-    }
-    Request request = new Request(lines, options.valuesOf(policies), options.valueOf(seed));
+    Request request =
+        new Request(
+            lines(options),
+            options.valueOf(deployment),
+            options.valuesOf(policies),
+            options.valueOf(seed));
     return runner
         .run(request)
         .fold(
@@ -111,6 +135,39 @@
             table -> print(table, options.has(json), terminal));
   }
 
+  private List<String> lines(OptionSet options) {
+    try {
+      return options.has(trace)
+          ? Files.readAllLines(options.valueOf(trace), StandardCharsets.UTF_8)
+          : generated(options);
+    } catch (IOException e) {
+      throw new UsageException("a trace file cannot be read or written as UTF-8 text");
+    }
+  }
+
+  private List<String> generated(OptionSet options) throws IOException {
+    StringWriter text = new StringWriter();
+    TraceFormat.write(
+        TraceGenerator.generate(
+            PolicyReplay.deployment(options.valueOf(deployment))
+                .getOrElseThrow(() -> new UsageException("--deployment: zopfwerk or flagline")),
+            shapeOf(options.valueOf(shape)),
+            options.valueOf(seed),
+            options.has(faults)),
+        text);
+    if (options.has(save)) {
+      Files.writeString(options.valueOf(save), text.toString());
+    }
+    return text.toString().lines().toList();
+  }
+
+  private static TraceShape shapeOf(String name) {
+    return Arrays.stream(TraceShape.values())
+        .filter(each -> each.name().equalsIgnoreCase(name))
+        .findFirst()
+        .orElseThrow(() -> new UsageException("--shape: calm, crowded or burst"));
+  }
+
   private static ExitCode print(AnswerTable table, boolean asJson, Terminal terminal) {
     terminal
         .out()
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
@@ -173,6 +173,10 @@
     return vertx;
   }
 
+  Clock clock() {
+    return clock;
+  }
+
   ActiveRequests active() {
     return active;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/ShutdownSignals.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/ShutdownSignals.java
@@ -1,35 +1,42 @@
 package org.cactusseam.edge;
 
-import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
+import org.cactusseam.edge.caller.ActiveRequests;
+import org.cactusseam.edge.control.ControlPlane;
+import org.cactusseam.logic.shutdown.ShutdownAction;
+import org.cactusseam.logic.shutdown.ShutdownCoordinator;
+import org.cactusseam.logic.shutdown.ShutdownSettings;
 import org.jboss.logging.Logger;
 import sun.misc.Signal;
 
 /**
- * Shuts the daemon down in order on the first termination signal and at once on the second.
- * Shutdown hooks of the runtime cannot tell the second signal from the first.
+ * Runs the shutdown of the daemon on termination signals. Shutdown hooks of the runtime cannot tell
+ * the second signal from the first, so the signals are handled here.
  */
 final class ShutdownSignals {
 
   private static final Logger LOG = Logger.getLogger(ShutdownSignals.class);
-  private static final Duration LAST_WRITES = Duration.ofMillis(500);
-  private static final long CHECK_MILLIS = 100;
-
-  /**
-   * While the log is out, or with no successor in the region, leaving does not complete. Exiting
-   * without it costs only the time in which the other daemons notice the refused connections.
-   */
-  private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(5);
+  private static final long TICK_MILLIS = 50;
 
   private final EntryDaemon daemon;
+  private final ControlPlane control;
+  private final ActiveRequests active;
+  private final ShutdownCoordinator coordinator;
   private final CountDownLatch end = new CountDownLatch(1);
-  private final AtomicInteger signals = new AtomicInteger();
+  private boolean leaveReported;
 
   ShutdownSignals(EntryDaemon daemon) {
     this.daemon = daemon;
+    this.control = daemon.control();
+    this.active = daemon.active();
+    this.coordinator =
+        new ShutdownCoordinator(
+            new ShutdownSettings(
+                daemon.settings().shutdown().grace(), daemon.settings().shutdown().drain()),
+            daemon.clock());
     Signal.handle(new Signal("TERM"), signal -> received());
     Signal.handle(new Signal("INT"), signal -> received());
+    daemon.vertx().setPeriodic(TICK_MILLIS, timer -> control.run(this::tick));
   }
 
   void awaitEnd() {
@@ -41,48 +48,39 @@
   }
 
   private void received() {
-    int count = signals.incrementAndGet();
-    LOG.infof(
-        "event=signal_received count=%d open_requests=%d", (Object) count, daemon.active().size());
-    if (count == 1) {
-      leave();
-    } else {
-      exit();
-    }
-  }
-
-  private void leave() {
-    daemon.setReadiness(EntryDaemon.Readiness.LEAVING);
-    daemon.control().leave();
-    long grace = Math.max(1, daemon.settings().shutdown().grace().toMillis());
-    daemon.vertx().setTimer(grace, timer -> drain());
+    LOG.infof("event=signal_received open_requests=%d", (Object) active.size());
+    control.run(
+        () -> {
+          coordinator.signal();
+          perform();
+        });
   }
 
-  private void drain() {
-    daemon.setReadiness(EntryDaemon.Readiness.CLOSED);
-    long drain = Math.max(1, daemon.settings().shutdown().drain().toMillis());
-    daemon.vertx().setTimer(drain, timer -> daemon.active().handOverAll());
-    long leaveDeadline = System.nanoTime() + LEAVE_TIMEOUT.toNanos();
-    daemon
-        .vertx()
-        .setPeriodic(
-            CHECK_MILLIS,
-            timer -> {
-              boolean left = daemon.control().hasLeft() || System.nanoTime() - leaveDeadline > 0;
-              if (daemon.active().size() == 0 && left) {
-                daemon.vertx().cancelTimer(timer);
-                exit();
-              }
-            });
+  private void tick() {
+    coordinator.log(control.isLogAvailable());
+    coordinator.open(active.open());
+    coordinator.remaining(control.unreleasedShards(), 0);
+    if (control.hasLeft() && !leaveReported) {
+      leaveReported = true;
+      coordinator.leaveRecorded();
+    }
+    coordinator.tick();
+    perform();
   }
 
-  /** Asks the callers of all streams to resume elsewhere, and exits when that is written. */
-  private void exit() {
-    daemon.setReadiness(EntryDaemon.Readiness.CLOSED);
-    daemon.active().handOverAll();
-    daemon
-        .vertx()
-        .setTimer(
-            LAST_WRITES.toMillis(), timer -> daemon.stop().onComplete(done -> end.countDown()));
+  private void perform() {
+    for (ShutdownAction action : coordinator.drain()) {
+      LOG.infof("event=shutdown_step action=%s", action.getClass().getSimpleName());
+      switch (action) {
+        case ShutdownAction.FailReadiness fail ->
+            daemon.setReadiness(EntryDaemon.Readiness.LEAVING);
+        case ShutdownAction.HandOver handOver -> control.leave();
+        case ShutdownAction.RefuseNew refuse -> daemon.setReadiness(EntryDaemon.Readiness.CLOSED);
+        case ShutdownAction.RefuseWaiting refuse -> active.refuseWaiting();
+        case ShutdownAction.AskToResume ask -> active.handOverAll();
+        case ShutdownAction.AnswerUncertain answer -> active.answerUncertain();
+        case ShutdownAction.Exit exit -> daemon.stop().onComplete(done -> end.countDown());
+      }
+    }
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ActiveRequests.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ActiveRequests.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.cactusseam.logic.shutdown.OpenRequests;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.Refusal;
+import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.message.RequestSummary;
 
 /**
@@ -17,17 +20,41 @@
   private final Clock clock;
   private final Map<String, Entry> entries = new ConcurrentHashMap<>();
 
+  /**
+   * How a request ends early when the daemon shuts down; its methods run on the request's event
+   * loop.
+   */
+  interface Leaver {
+
+    /**
+     * Tells whether the caller can resume the answer at another daemon; for all threads.
+     *
+     * @return true if it has begun as a stream
+     */
+    boolean isResumable();
+
+    /** Asks the caller to resume elsewhere. */
+    void handOver();
+
+    /**
+     * Ends the request.
+     *
+     * @param refusal answer
+     */
+    void end(Refusal refusal);
+  }
+
   /** State of one request, written by its event loop and read by any thread. */
   static final class Entry {
     private final RequestInfo info;
-    private final Runnable handOver;
+    private final Leaver leaver;
     private volatile String server = "";
     private volatile String state = "waiting";
     private volatile long tokens;
 
-    private Entry(RequestInfo info, Runnable handOver) {
+    private Entry(RequestInfo info, Leaver leaver) {
       this.info = info;
-      this.handOver = handOver;
+      this.leaver = leaver;
     }
 
     void sentTo(String newServer) {
@@ -57,8 +84,8 @@
     this.clock = clock;
   }
 
-  Entry add(RequestInfo info, Runnable handOver) {
-    Entry entry = new Entry(info, handOver);
+  Entry add(RequestInfo info, Leaver leaver) {
+    Entry entry = new Entry(info, leaver);
     entries.put(info.id(), entry);
     return entry;
   }
@@ -76,9 +103,53 @@
     return entries.size();
   }
 
+  /**
+   * Counts the requests by how they can end.
+   *
+   * @return counts
+   */
+  public OpenRequests open() {
+    int waiting = 0;
+    int resumable = 0;
+    int unresumable = 0;
+    for (Entry entry : entries.values()) {
+      if (entry.server.isEmpty()) {
+        waiting++;
+      } else if (entry.leaver.isResumable()) {
+        resumable++;
+      } else {
+        unresumable++;
+      }
+    }
+    return new OpenRequests(waiting, resumable, unresumable);
+  }
+
   /** Asks the callers of all streams to resume at another daemon. */
   public void handOverAll() {
-    entries.values().forEach(entry -> entry.handOver.run());
+    entries.values().stream()
+        .filter(entry -> entry.leaver.isResumable())
+        .forEach(entry -> entry.leaver.handOver());
+  }
+
+  /** Refuses the requests that were not sent to a backend server. */
+  public void refuseWaiting() {
+    Refusal refusal =
+        new Refusal(
+            ResultCode.SHUTTING_DOWN,
+            "this VM shuts down; another one serves",
+            Duration.ofMillis(1));
+    entries.values().stream()
+        .filter(entry -> entry.server.isEmpty())
+        .forEach(entry -> entry.leaver.end(refusal));
+  }
+
+  /** Ends the requests that were sent and cannot be resumed, because the daemon ends. */
+  public void answerUncertain() {
+    Refusal refusal =
+        Refusal.permanent(ResultCode.OUTCOME_UNKNOWN, "this VM ended before the answer came");
+    entries.values().stream()
+        .filter(entry -> !entry.server.isEmpty() && !entry.leaver.isResumable())
+        .forEach(entry -> entry.leaver.end(refusal));
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -1,6 +1,8 @@
 package org.cactusseam.edge.caller;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -48,6 +50,7 @@
   private AttemptLoop.@Nullable Attempt current;
   private @Nullable GenerationRelay relay;
   private @Nullable GenerationId generation;
+  private final Context loop = Vertx.currentContext();
   private boolean ended;
 
   ModelRequest(
@@ -66,7 +69,7 @@
     this.answer = answer;
     this.slowReader = slowReader;
     this.journal = new RequestJournal(services.clock(), services.metrics(), info);
-    this.entry = services.active().add(info, this::requestHandOver);
+    this.entry = services.active().add(info, new Leaver());
     this.attempts =
         new AttemptLoop(
             services,
@@ -341,14 +344,29 @@
             timer -> attempts.end(attempt.permit(), AttemptEnd.CANCELLED, left.nextIndex()));
   }
 
-  private void requestHandOver() {
-    services
-        .vertx()
-        .runOnContext(
-            ignored -> {
-              if (!ended && answer.handOver()) {
-                callerLeft();
-              }
-            });
+  private final class Leaver implements ActiveRequests.Leaver {
+    @Override
+    public boolean isResumable() {
+      return answer instanceof StreamedAnswer streamed && streamed.hasBegun();
+    }
+
+    @Override
+    public void handOver() {
+      onLoop(
+          () -> {
+            if (!ended && answer.handOver()) {
+              callerLeft();
+            }
+          });
+    }
+
+    @Override
+    public void end(Refusal refusal) {
+      onLoop(() -> refuse(refusal));
+    }
+
+    private void onLoop(Runnable action) {
+      loop.runOnContext(ignored -> action.run());
+    }
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.caller;
 
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -41,6 +43,7 @@
   private final RequestJournal journal;
   private final AttemptLoop attempts;
   private final ClaimGate gate;
+  private final Context loop = Vertx.currentContext();
   private boolean ended;
 
   PlainRequest(
@@ -55,7 +58,7 @@
     this.request = request;
     this.body = body;
     this.journal = new RequestJournal(services.clock(), services.metrics(), info);
-    this.entry = services.active().add(info, () -> {});
+    this.entry = services.active().add(info, new Leaver());
     this.gate =
         new ClaimGate(
             services.claims(),
@@ -232,4 +235,21 @@
       attempts.stop();
     }
   }
+
+  private final class Leaver implements ActiveRequests.Leaver {
+    @Override
+    public boolean isResumable() {
+      return false;
+    }
+
+    @Override
+    public void handOver() {
+      // A plain answer cannot be resumed.
+    }
+
+    @Override
+    public void end(Refusal refusal) {
+      loop.runOnContext(ignored -> refuse(refusal));
+    }
+  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ResumedStream.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ResumedStream.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.caller;
 
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.util.Optional;
 import org.cactusseam.edge.backend.GenerationRelay;
@@ -21,6 +23,7 @@
   private final SlowReaderGuard slowReader;
   private final ActiveRequests.Entry entry;
   private final GenerationRelay relay;
+  private final Context loop = Vertx.currentContext();
   private boolean ended;
 
   ResumedStream(
@@ -37,7 +40,7 @@
     this.generation = generation;
     this.answer = answer;
     this.slowReader = slowReader;
-    this.entry = services.active().add(info, this::requestHandOver);
+    this.entry = services.active().add(info, new Leaver());
     this.entry.sentTo(server.name().value());
     this.relay =
         new GenerationRelay(
@@ -93,17 +96,6 @@
     services.active().remove(info);
   }
 
-  private void requestHandOver() {
-    services
-        .vertx()
-        .runOnContext(
-            ignored -> {
-              if (!ended && answer.handOver()) {
-                callerLeft();
-              }
-            });
-  }
-
   /**
    * Position in a generation as callers state it in {@code Last-Event-ID}.
    *
@@ -129,4 +121,35 @@
       }
     }
   }
+
+  private final class Leaver implements ActiveRequests.Leaver {
+    @Override
+    public boolean isResumable() {
+      return true;
+    }
+
+    @Override
+    public void handOver() {
+      onLoop(
+          () -> {
+            if (!ended && answer.handOver()) {
+              callerLeft();
+            }
+          });
+    }
+
+    @Override
+    public void end(Refusal refusal) {
+      onLoop(
+          () -> {
+            finish();
+            relay.leave();
+            answer.refuse(refusal);
+          });
+    }
+
+    private void onLoop(Runnable action) {
+      loop.runOnContext(ignored -> action.run());
+    }
+  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/StreamedAnswer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/StreamedAnswer.java
@@ -17,6 +17,7 @@
   private final HttpServerResponse response;
   private final byte[] clusterKey;
   private String encoded = "";
+  private volatile boolean begun;
 
   StreamedAnswer(HttpServerResponse response, byte[] clusterKey) {
     this.response = response;
@@ -63,10 +64,20 @@
     return true;
   }
 
+  /**
+   * Tells whether the caller has got a part of the stream; for all threads.
+   *
+   * @return true after the first token
+   */
+  boolean hasBegun() {
+    return begun;
+  }
+
   private void begin(GenerationId generation) {
     if (response.headWritten()) {
       return;
     }
+    begun = true;
     encoded = generation.encode(clusterKey);
     response.setChunked(true);
     response.putHeader("Content-Type", "text/event-stream");
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -76,7 +76,7 @@
   private Member self;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean ready;
-  private volatile boolean left;
+  private boolean logAvailable;
 
   /**
    * Creates the control plane; the caller is on the control thread.
@@ -162,11 +162,13 @@
 
     @Override
     public void read(Instant sentAt, boolean current) {
+      logAvailable = true;
       coordinator.logRead(sentAt, current);
     }
 
     @Override
     public void failed() {
+      logAvailable = false;
       coordinator.logFailed();
     }
   }
@@ -270,7 +272,6 @@
 
   private void tick() {
     coordinator.tick();
-    left = coordinator.hasLeft();
     inForce.statusReceived(coordinator.status());
     inForce.tick();
     performActions();
@@ -556,13 +557,40 @@
   }
 
   /**
-   * Tells whether the shards are handed over and the view no longer has this daemon; for all
-   * threads. While the log is out, the handovers alone decide.
+   * Runs a task on the control thread; for all threads.
    *
-   * @return true if the daemon may exit
+   * @param task task
+   */
+  public void run(Runnable task) {
+    thread.run(task);
+  }
+
+  /**
+   * Tells whether the view no longer has this daemon and all handovers are accepted; for the
+   * control thread.
+   *
+   * @return true if nothing depends on this daemon
    */
   public boolean hasLeft() {
-    return left;
+    return coordinator.hasLeft();
+  }
+
+  /**
+   * Counts the shards that no successor has accepted; for the control thread.
+   *
+   * @return shards
+   */
+  public int unreleasedShards() {
+    return coordinator.pendingHandovers();
+  }
+
+  /**
+   * Tells whether the last read of the control log was answered; for the control thread.
+   *
+   * @return true if it was
+   */
+  public boolean isLogAvailable() {
+    return logAvailable;
   }
 
   /**
--- a/cactusseam-daemon/src/test/java/org/cactusseam/cli/MainTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/cli/MainTest.java
@@ -164,7 +164,10 @@
 
     assertThat(
         replayed,
-        is(List.of(new ReplayCommand.Request(List.of("one", "two"), List.of("a", "b"), 7))));
+        is(
+            List.of(
+                new ReplayCommand.Request(
+                    List.of("one", "two"), "zopfwerk", List.of("a", "b"), 7))));
     assertThat(fixture.out(), is("policy  stalls\na            1\n"));
   }
 
