Read cache events of engines and hash prompts as they do

Cause: the daemon hashed prompt prefixes in its own way and never read cache events, so prefix affinity could not work outside the replay. Change: one class hashes prompt blocks for daemon and engine stand-in; the owner of a shard reads cache events with the load reports.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -29,7 +29,6 @@
 import org.cactusseam.logic.membership.MembershipCoordinator;
 import org.cactusseam.logic.membership.MembershipSettings;
 import org.cactusseam.logic.membership.Ownership;
-import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ShardId;
@@ -59,7 +58,6 @@
   private final ControlThread thread;
   private final String boot;
   private final VirtualMachineList machines;
-  private final LoadPoller loads;
   private final PeerNetwork network;
   private final ControlLog log;
   private final MembershipCoordinator coordinator;
@@ -67,6 +65,7 @@
   private final ProvisionalRestrictions restrictions = new ProvisionalRestrictions();
   private final Map<ShardId, Handover> standIns = new HashMap<>();
   private final PermitRouter router;
+  private final BackendReports reports;
   private final OwnedShards owned;
   private final ShardLoads shardLoads = new ShardLoads();
   private final PeerQueries queries;
@@ -103,7 +102,6 @@
     this.self = self;
     this.boot = self.boot();
     this.machines = machines;
-    this.loads = new LoadPoller(vertx);
     this.network =
         new PeerNetwork(
             vertx, clock, settings.keys().cluster().bytes(), settings.deployment(), self, this);
@@ -114,6 +112,7 @@
     this.router = new PermitRouter(thread, clock, this::ownerOf, this::send);
     this.owned =
         new OwnedShards(clock, admissionSettings(settings), coordinator::mayGrant, this::send);
+    this.reports = new BackendReports(new LoadPoller(vertx), owned);
     this.queries = new PeerQueries(vertx, self.node(), network, localRequests);
     this.claims =
         new ClaimDesk(
@@ -362,9 +361,7 @@
   private void pollLoads() {
     publishLoads();
     for (ShardId shard : List.copyOf(owned.owned())) {
-      for (BackendServer server : view.shards().shards().getOrDefault(shard, List.of())) {
-        loads.poll(server).onSuccess(report -> owned.loadReport(shard, server.name(), report));
-      }
+      reports.poll(shard, view.shards().shards().getOrDefault(shard, List.of()));
     }
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -139,6 +139,13 @@
     }
   }
 
+  void cacheEvent(ShardId id, BackendServerName server, long number, boolean stored, long prefix) {
+    AdmissionShard shard = shards.get(id);
+    if (shard != null) {
+      shard.cacheEvent(server, number, stored, prefix);
+    }
+  }
+
   void adopt(PeerMessage.Adopt message) {
     AdmissionShard shard = current(message.permit().shard());
     if (shard != null) {
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/CompletionRequest.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/CompletionRequest.java
@@ -1,15 +1,12 @@
 package org.cactusseam.standin.engine;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import io.vertx.core.MultiMap;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.UUID;
+import org.cactusseam.logic.admission.PromptBlocks;
 import org.cactusseam.logic.replay.EngineRequest;
 import org.cactusseam.standin.InvalidInputException;
 import org.cactusseam.standin.Json;
@@ -50,7 +47,6 @@
   /** Header with the output length, for tests. {@code max_tokens} limits it too. */
   public static final String TEST_LENGTH_HEADER = "Cactusseam-Test-Length";
 
-  private static final HashFunction BLOCK_HASH = Hashing.sipHash24();
   private static final int CHARACTERS_PER_TOKEN = 4;
   private static final int UNLIMITED = Integer.MAX_VALUE;
 
@@ -98,24 +94,12 @@
         stream,
         rank,
         promptTokens(),
-        prefixBlocks(options.blockTokens() * CHARACTERS_PER_TOKEN),
+        PromptBlocks.hashes(
+            prompt, options.blockTokens() * CHARACTERS_PER_TOKEN, Integer.MAX_VALUE),
         outputTokens,
         crashesEngine);
   }
 
-  /** Hashes each full block together with the hash of its predecessor, as real engines do. */
-  private List<Long> prefixBlocks(int charactersPerBlock) {
-    List<Long> blocks = new ArrayList<>();
-    long previous = 0;
-    for (int end = charactersPerBlock; end <= prompt.length(); end += charactersPerBlock) {
-      Hasher hasher = BLOCK_HASH.newHasher().putLong(previous);
-      String block = prompt.substring(end - charactersPerBlock, end);
-      previous = hasher.putString(block, StandardCharsets.UTF_8).hash().asLong();
-      blocks.add(previous);
-    }
-    return blocks;
-  }
-
   private static String joinMessages(JsonNode messages) {
     if (!messages.isArray() || messages.isEmpty()) {
       throw new InvalidInputException("messages must be a list with at least one element");
