Refuse requests whose account, class or route has changed unseen

Cause: an owner admitted a request by the view of the daemon that asked. A daemon that cannot read the log went on to serve an account that operators had removed. Change: the question for a permit states how far the daemon has read the control log. An owner that knows a later change of the account, its class or the route refuses "not run" and sends the missing records.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -169,8 +169,10 @@
    *
    * @param request attempt
    * @param round number of the question; the validity of the permit counts from when it was sent
+   * @param viewOffset offset of the next control record that the sender will apply; an owner that
+   *     knows a later change of the account, its class or the route refuses
    */
-  record AskPermit(PermitRequest request, int round) implements PeerMessage {}
+  record AskPermit(PermitRequest request, int round, long viewOffset) implements PeerMessage {}
 
   /**
    * Answers {@link AskPermit}, possibly several times.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
@@ -161,7 +161,9 @@
     if (stopped) {
       return;
     }
-    if (refusal.code() == ResultCode.DEADLINE_PASSED || shardIndex + 1 >= shards.size()) {
+    boolean isFinal =
+        refusal.code() == ResultCode.DEADLINE_PASSED || refusal.code() == ResultCode.NOT_READY;
+    if (isFinal || shardIndex + 1 >= shards.size()) {
       refuse(refusal);
       return;
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cactusseam.edge.backend.LoadPoller;
 import org.cactusseam.edge.peer.PeerListener;
 import org.cactusseam.edge.peer.PeerNetwork;
@@ -31,8 +32,13 @@
 import org.cactusseam.logic.membership.Ownership;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.ObjectKind;
+import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.ShardId;
+import org.cactusseam.model.admission.AdmissionDecision;
 import org.cactusseam.model.admission.Permit;
+import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.claim.ClaimId;
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.Handover;
@@ -51,6 +57,7 @@
   private static final long INVENTORY_INTERVAL_MILLIS = 1_000;
   private static final long LOAD_INTERVAL_MILLIS = 250;
   private static final long LIST_INTERVAL_MILLIS = 1_000;
+  private static final long STALE_RETRY_MILLIS = 100;
   private static final long SLOW_INTERVAL_MILLIS = 2_000;
 
   private final Vertx vertx;
@@ -109,7 +116,8 @@
     this.coordinator = new MembershipCoordinator(self, times, clock);
     this.inForce = new InForceTracker(clock, times.permitValidity());
     this.log = new ControlLog(vertx, clock, platformLog, settings.platform(), new LogListener());
-    this.router = new PermitRouter(thread, clock, this::ownerOf, this::send);
+    this.router =
+        new PermitRouter(thread, clock, this::ownerOf, () -> log.state().nextOffset(), this::send);
     this.owned =
         new OwnedShards(clock, admissionSettings(settings), coordinator::mayGrant, this::send);
     this.reports = new BackendReports(new LoadPoller(vertx), owned);
@@ -397,7 +405,7 @@
   @Override
   public void received(Member from, PeerMessage message) {
     switch (message) {
-      case PeerMessage.AskPermit ask -> owned.ask(ask.request(), ask.round());
+      case PeerMessage.AskPermit ask -> asked(from, ask);
       case PeerMessage.Decided decided -> router.decided(decided.decision(), decided.round());
       case PeerMessage.Confirmed confirmed -> owned.confirmed(confirmed);
       case PeerMessage.Ended ended -> owned.ended(ended);
@@ -410,6 +418,38 @@
     }
   }
 
+  /**
+   * A requester that has not read the last change of the account, its class or the route must not
+   * send the request: the change is in force. It gets the records that it lacks, so that it can
+   * decide again.
+   */
+  private void asked(Member from, PeerMessage.AskPermit ask) {
+    if (!isStale(ask)) {
+      owned.ask(ask.request(), ask.round());
+      return;
+    }
+    sendRecords(from.node(), ask.viewOffset());
+    send(
+        from.node(),
+        new PeerMessage.Decided(
+            new AdmissionDecision.Refused(
+                ask.request().id(),
+                ResultCode.NOT_READY,
+                "the configuration of the request has changed",
+                STALE_RETRY_MILLIS),
+            ask.round()));
+  }
+
+  private boolean isStale(PeerMessage.AskPermit ask) {
+    Configuration configuration = log.state().configuration();
+    PermitRequest request = ask.request();
+    return Stream.of(
+            new ObjectKey(ObjectKind.ACCOUNT, request.account().value()),
+            new ObjectKey(ObjectKind.PRIORITY_CLASS, request.priorityClass().value()),
+            new ObjectKey(ObjectKind.ROUTE, request.route().value()))
+        .anyMatch(key -> configuration.revision(key).orElse(-1) >= ask.viewOffset());
+  }
+
   private void receivedMembership(Member from, PeerMessage message) {
     switch (message) {
       case PeerMessage.Ping ping -> {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.Refusal;
 import org.cactusseam.model.ResultCode;
@@ -57,6 +58,7 @@
   private final ControlThread thread;
   private final Clock clock;
   private final Function<ShardId, Optional<NodeName>> owners;
+  private final LongSupplier viewOffset;
   private final Sender sender;
   private final Map<PermitRequestId, Question> questions = new HashMap<>();
   private final Map<PermitRequestId, Running> running = new HashMap<>();
@@ -92,7 +94,9 @@
       ControlThread thread,
       Clock clock,
       Function<ShardId, Optional<NodeName>> owners,
+      LongSupplier viewOffset,
       Sender sender) {
+    this.viewOffset = viewOffset;
     this.thread = thread;
     this.clock = clock;
     this.owners = owners;
@@ -161,7 +165,9 @@
     question.rounds.add(now);
     PermitRequest request =
         withPatience(question.request, Duration.between(now, question.deadline));
-    send(request.shard(), new PeerMessage.AskPermit(request, question.rounds.size() - 1));
+    send(
+        request.shard(),
+        new PeerMessage.AskPermit(request, question.rounds.size() - 1, viewOffset.getAsLong()));
   }
 
   private static PermitRequest withPatience(PermitRequest request, Duration patience) {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -132,7 +132,7 @@
             CLAIM,
             new ClaimAnswer.Stored(new StoredAnswer(200, "text/plain", new byte[] {1, 2}))),
         new PeerMessage.RestrictionAnswer("c1", new NodeName("entry-1"), true),
-        new PeerMessage.AskPermit(REQUEST, 3),
+        new PeerMessage.AskPermit(REQUEST, 3, 17),
         new PeerMessage.Decided(
             new AdmissionDecision.Granted(new Permit(ATTEMPT, SHARD, SERVER, 12)), 3),
         new PeerMessage.Decided(
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
@@ -37,6 +37,7 @@
   final Map<String, ChildProcess> processes = new LinkedHashMap<>();
   final Map<String, Integer> ports = new LinkedHashMap<>();
   final Map<String, Integer> adminPorts = new LinkedHashMap<>();
+  private final List<Relay> relays = new ArrayList<>();
   private final Map<String, String> machines = new LinkedHashMap<>();
   private final Map<String, Path> settings = new LinkedHashMap<>();
   private final Map<String, Integer> operatorPorts = new LinkedHashMap<>();
@@ -94,7 +95,19 @@
     startStandIn(name, freePort(), arguments);
   }
 
-  void entry(String name, String domain, String region, String... extraSettings) {
+  /** Starts an entry daemon that reaches the log only through a relay, which the test can cut. */
+  Relay entryBehindRelay(String name, String domain, String region) {
+    Relay relay = new Relay(logPort);
+    relays.add(relay);
+    entry(name, domain, region, relay.port());
+    return relay;
+  }
+
+  void entry(String name, String domain, String region) {
+    entry(name, domain, region, logPort);
+  }
+
+  private void entry(String name, String domain, String region, int logAddress) {
     int caller = freePort();
     int operator = freePort();
     int peer = freePort();
@@ -117,18 +130,8 @@
           vm-list-lag: 5s
         logging:
           format: text
-        %s
         """
-            .formatted(
-                name,
-                domain,
-                region,
-                caller,
-                operator,
-                peer,
-                logPort,
-                listPort,
-                String.join("\n", extraSettings));
+            .formatted(name, domain, region, caller, operator, peer, logAddress, listPort);
     Path file = folder.resolve(name + ".yaml");
     try {
       Files.writeString(file, yaml);
@@ -265,6 +268,7 @@
   @Override
   public void close() {
     processes.values().forEach(ChildProcess::close);
+    relays.forEach(Relay::close);
     try (var files = Files.list(folder)) {
       for (Path file : files.collect(Collectors.toList())) {
         Files.delete(file);
