Refuse and isolate requests that crash backend servers

Cause: a request that crashes every engine was retried and resent without bound, through every entry daemon. Change: the owner of a shard detects crashes (broken stream plus another incarnation or a refused connection), asks the quarantine table before each grant, refuses convicted requests with 3009, exchanges suspicions with the peers and holds failures back until the owners of the pool know, at most 2 s.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -99,6 +99,11 @@
     this.retries = new RetryBudget(settings.retryPart());
   }
 
+  /** Sets a further condition on where requests may run; it is asked at each choice. */
+  public void placement(PlacementRule rule) {
+    chooser.placement(rule);
+  }
+
   /**
    * Sets the servers, the configuration and the epoch of the permits to come. A removed server that
    * runs attempts stays known, out of service, so that its limits hold if it is created again.
@@ -579,11 +584,8 @@
     purchased.clear();
     for (ClientAccount account : accounts) {
       AccountLedger ledger = ledgers.computeIfAbsent(account.name(), name -> new AccountLedger());
-      int rank =
-          configuration
-              .priorityClass(account.priorityClass())
-              .map(PriorityClass::rank)
-              .orElse(LOWEST_RANK);
+      Optional<PriorityClass> found = configuration.priorityClass(account.priorityClass());
+      int rank = found.map(PriorityClass::rank).orElse(LOWEST_RANK);
       ledger.purchase(rank, account.share(), total);
       if (account.share() > 0) {
         purchased.add(ledger);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -1,5 +1,6 @@
 package org.cactusseam.logic.admission;
 
+import com.google.common.collect.Lists;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -15,7 +16,7 @@
     NONE,
     /** No server has room. */
     CAPACITY,
-    /** Every server with room failed an earlier attempt of the request. */
+    /** Every server with room failed an earlier attempt, or the placement rule forbids it. */
     EXCLUDED
   }
 
@@ -27,12 +28,17 @@
   private Obstacle obstacle = Obstacle.NONE;
   private double[] bounds = new double[ShardId.MAXIMUM_SERVERS];
   private double[] extras = new double[ShardId.MAXIMUM_SERVERS];
+  private PlacementRule placement = PlacementRule.NONE;
   private int turn;
 
   ServerChooser(AdmissionSettings settings) {
     this.settings = settings;
   }
 
+  void placement(PlacementRule rule) {
+    placement = rule;
+  }
+
   /** Returns why the last call of {@link #choose} found no server. */
   Obstacle obstacle() {
     return obstacle;
@@ -53,7 +59,8 @@
       if (!server.hasRoom(now) || !leavesMargin(attempt, server)) {
         continue;
       }
-      if (attempt.request.excluded().contains(server.description().name())) {
+      boolean failedBefore = attempt.request.excluded().contains(server.description().name());
+      if (failedBefore || !placement.allows(attempt.request.fingerprint(), running(server))) {
         excluded = true;
       } else {
         candidates.add(server);
@@ -74,6 +81,10 @@
     return best;
   }
 
+  private static Collection<String> running(ServerState server) {
+    return Lists.transform(server.attempts, attempt -> attempt.request.fingerprint());
+  }
+
   private boolean leavesMargin(Attempt attempt, ServerState server) {
     if (!attempt.mayWait || !settings.uses(Mechanism.WAITING_YIELDS)) {
       return true;
--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -19,6 +19,7 @@
 import org.cactusseam.model.control.Member;
 import org.cactusseam.model.control.PeerStatus;
 import org.cactusseam.model.control.StoredRecord;
+import org.cactusseam.model.quarantine.Suspicions;
 
 /** A message between entry daemons. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -45,6 +46,9 @@
   @JsonSubTypes.Type(value = PeerMessage.Inventory.class, name = "inventory"),
   @JsonSubTypes.Type(value = PeerMessage.Adopt.class, name = "adopt"),
   @JsonSubTypes.Type(value = PeerMessage.Ended.class, name = "ended"),
+  @JsonSubTypes.Type(value = PeerMessage.SuspicionsNews.class, name = "suspicions"),
+  @JsonSubTypes.Type(value = PeerMessage.SuspicionsAnswer.class, name = "suspicions-answer"),
+  @JsonSubTypes.Type(value = PeerMessage.FailureReleased.class, name = "failure-released"),
   @JsonSubTypes.Type(value = PeerMessage.QueryRequest.class, name = "query"),
   @JsonSubTypes.Type(value = PeerMessage.QueryReply.class, name = "reply")
 })
@@ -94,8 +98,32 @@
    * What the sender states of itself, outside of pings.
    *
    * @param status statement
+   * @param suspicions digest of what the sender knows of crashes of backend servers
    */
-  record Status(PeerStatus status) implements PeerMessage {}
+  record Status(PeerStatus status, long suspicions) implements PeerMessage {}
+
+  /**
+   * What the sender knows of crashes of backend servers; answered by {@link SuspicionsAnswer}. Sent
+   * after a crash and when digests differ.
+   *
+   * @param known value of the sender
+   */
+  record SuspicionsNews(Suspicions known) implements PeerMessage {}
+
+  /**
+   * Answers {@link SuspicionsNews} and shows that the sender has merged it.
+   *
+   * @param known value of the sender after the merge
+   */
+  record SuspicionsAnswer(Suspicions known) implements PeerMessage {}
+
+  /**
+   * Answers {@link Ended} of a broken attempt: its failure may be answered or retried, because it
+   * was no crash or the owners of the pool's shards know of it.
+   *
+   * @param attempt attempt
+   */
+  record FailureReleased(PermitRequestId attempt) implements PeerMessage {}
 
   /**
    * Asks for control records that the sender could not read from the log.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
@@ -171,6 +171,21 @@
    * @param refusal reason, used if the request ends
    */
   void failed(Attempt failed, boolean ran, Refusal refusal) {
+    whenReleased(failed.permit(), () -> released(failed, ran, refusal));
+  }
+
+  /**
+   * Holds a failure back until the owners know of a crash that the request may have caused.
+   * Otherwise an owner that knows nothing could run it again at once.
+   *
+   * @param permit permit of the attempt that failed
+   * @param then passes the failure on
+   */
+  void whenReleased(Permit permit, Runnable then) {
+    services.admission().whenReleased(permit.id(), then);
+  }
+
+  private void released(Attempt failed, boolean ran, Refusal refusal) {
     mayHaveRun |= ran;
     excluded.add(failed.server().name());
     boolean mayRepeat = !ran || info.route().repeatable();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -273,7 +273,7 @@
     finish(AttemptEnd.BROKEN);
     Refusal refusal = Refusal.permanent(code, detail);
     journal.refused(refusal);
-    answer.refuse(refusal);
+    attempts.whenReleased(attempt.permit(), () -> answer.refuse(refusal));
   }
 
   @Override
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/AdmissionClient.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/AdmissionClient.java
@@ -42,6 +42,15 @@
    */
   void progress(PermitRequestId attempt, long tokens);
 
+  /**
+   * Calls back when the failure of an attempt that {@link #ended} as broken may be answered or
+   * retried: the owners know of the crash, or it was none, or 2 s passed.
+   *
+   * @param attempt attempt
+   * @param then called once, on the caller's context
+   */
+  void whenReleased(PermitRequestId attempt, Runnable then);
+
   /**
    * Reports the end of an attempt that had a permit.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -29,7 +29,6 @@
 import org.cactusseam.logic.membership.MembershipCoordinator;
 import org.cactusseam.logic.membership.MembershipSettings;
 import org.cactusseam.logic.membership.Ownership;
-import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ShardId;
@@ -59,7 +58,7 @@
   private final ControlThread thread;
   private final String boot;
   private final VirtualMachineList machines;
-  private final LoadPoller loads;
+  private final LoadProbes loads;
   private final PeerNetwork network;
   private final ControlLog log;
   private final MembershipCoordinator coordinator;
@@ -68,6 +67,7 @@
   private final Map<ShardId, Handover> standIns = new HashMap<>();
   private final PermitRouter router;
   private final OwnedShards owned;
+  private final QuarantineDesk quarantine;
   private final PeerQueries queries;
   private final CommandDesk commands;
   private final ClaimDesk claims;
@@ -102,7 +102,6 @@
     this.self = self;
     this.boot = self.boot();
     this.machines = machines;
-    this.loads = new LoadPoller(vertx);
     this.network =
         new PeerNetwork(
             vertx, clock, settings.keys().cluster().bytes(), settings.deployment(), self, this);
@@ -111,8 +110,13 @@
     this.inForce = new InForceTracker(clock, times.permitValidity());
     this.log = new ControlLog(vertx, clock, platformLog, settings.platform(), new LogListener());
     this.router = new PermitRouter(thread, clock, this::ownerOf, this::send);
+    this.quarantine =
+        new QuarantineDesk(self.node(), clock, this::send, this::sendToPeers, this::ownersOfPool);
     this.owned =
-        new OwnedShards(clock, admissionSettings(settings), coordinator::mayGrant, this::send);
+        new OwnedShards(
+            clock, admissionSettings(settings), coordinator::mayGrant, this::send, quarantine);
+    this.loads =
+        new LoadProbes(clock, new LoadPoller(vertx), owned, quarantine, () -> view.shards());
     this.queries = new PeerQueries(vertx, self.node(), network, localRequests);
     this.claims =
         new ClaimDesk(
@@ -261,7 +265,7 @@
     claims.start();
     vertx.setPeriodic(DECISION_INTERVAL_MILLIS, timer -> tick());
     vertx.setPeriodic(INVENTORY_INTERVAL_MILLIS, timer -> router.sendInventories(boot));
-    vertx.setPeriodic(LOAD_INTERVAL_MILLIS, timer -> pollLoads());
+    vertx.setPeriodic(LOAD_INTERVAL_MILLIS, timer -> loads.pollAll());
     vertx.setPeriodic(LIST_INTERVAL_MILLIS, timer -> readList());
     vertx.setPeriodic(SLOW_INTERVAL_MILLIS, timer -> slowTick());
     readList();
@@ -274,6 +278,7 @@
     inForce.tick();
     performActions();
     owned.tick();
+    loads.pollSuspected();
     router.tick();
     commands.tick();
     askMissingOwners();
@@ -296,8 +301,7 @@
     }
     commands.appendPending();
     // Links to other regions carry no pings; without traffic the peer closes them as half-open.
-    PeerMessage status = new PeerMessage.Status(coordinator.status());
-    network.peers().forEach(peer -> network.send(peer, status));
+    sendToPeers(status());
     List<NodeName> active = log.state().membership().active().stream().map(Member::node).toList();
     if (active.contains(self.node())) {
       log.snapshotIfDue(
@@ -349,12 +353,19 @@
     configureShards();
   }
 
-  private void pollLoads() {
-    for (ShardId shard : List.copyOf(owned.owned())) {
-      for (BackendServer server : view.shards().shards().getOrDefault(shard, List.of())) {
-        loads.poll(server).onSuccess(report -> owned.loadReport(shard, server.name(), report));
-      }
-    }
+  private PeerMessage status() {
+    return new PeerMessage.Status(coordinator.status(), quarantine.digest());
+  }
+
+  private void sendToPeers(PeerMessage message) {
+    network.peers().forEach(peer -> network.send(peer, message));
+  }
+
+  private Set<NodeName> ownersOfPool(ShardId shard) {
+    return log.state().owners().owners().keySet().stream()
+        .filter(other -> other.pool().equals(shard.pool()))
+        .flatMap(other -> ownerOf(other).stream())
+        .collect(Collectors.toSet());
   }
 
   private void readList() {
@@ -393,6 +404,9 @@
       case PeerMessage.Decided decided -> router.decided(decided.decision(), decided.round());
       case PeerMessage.Confirmed confirmed -> owned.confirmed(confirmed);
       case PeerMessage.Ended ended -> owned.ended(ended);
+      case PeerMessage.FailureReleased released -> router.released(released.attempt());
+      case PeerMessage.SuspicionsNews news -> quarantine.news(from.node(), news.known());
+      case PeerMessage.SuspicionsAnswer known -> quarantine.learned(from.node(), known.known());
       case PeerMessage.Inventory inventory -> owned.inventory(from.node(), inventory);
       case PeerMessage.Adopt adopt -> owned.adopt(adopt);
       case PeerMessage.QueryRequest query -> queries.answer(from.node(), query);
@@ -411,9 +425,11 @@
         inForce.statusReceived(pong.status());
         coordinator.pongReceived(pong.sequence(), pong.status());
       }
-      case PeerMessage.StatusRequest request ->
-          send(from.node(), new PeerMessage.Status(coordinator.status()));
-      case PeerMessage.Status status -> inForce.statusReceived(status.status());
+      case PeerMessage.StatusRequest request -> send(from.node(), status());
+      case PeerMessage.Status status -> {
+        inForce.statusReceived(status.status());
+        quarantine.learnedDigest(from.node(), status.suspicions());
+      }
       case PeerMessage.RecordsRequest request -> sendRecords(from.node(), request.fromOffset());
       case PeerMessage.Records records -> log.receivedRecords(records.records());
       case PeerMessage.State state -> log.receivedState(state.snapshot());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -13,6 +13,7 @@
 import org.cactusseam.logic.admission.AdmissionSettings;
 import org.cactusseam.logic.admission.AdmissionShard;
 import org.cactusseam.logic.membership.ShardMap;
+import org.cactusseam.logic.quarantine.QuarantineTable;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
@@ -22,9 +23,11 @@
 import org.cactusseam.model.admission.AdmissionDecision;
 import org.cactusseam.model.admission.AttemptEnd;
 import org.cactusseam.model.admission.LoadReport;
+import org.cactusseam.model.admission.Permit;
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
 import org.cactusseam.model.message.PeerMessage;
+import org.jspecify.annotations.Nullable;
 
 /** Admission shards that this daemon owns, and the answers to those who asked. */
 final class OwnedShards {
@@ -43,14 +46,18 @@
   private final Predicate<ShardId> mayGrant;
   private final PermitRouter.Sender sender;
   private final Map<ShardId, AdmissionShard> shards = new TreeMap<>();
+  private final QuarantineDesk quarantine;
   private final Map<PermitRequestId, Integer> rounds = new HashMap<>();
+  private final Map<PermitRequestId, String> fingerprints = new HashMap<>();
   private final Map<ShardId, Map<PermitRequestId, Instant>> granted = new HashMap<>();
 
   OwnedShards(
       Clock clock,
       AdmissionSettings settings,
       Predicate<ShardId> mayGrant,
-      PermitRouter.Sender sender) {
+      PermitRouter.Sender sender,
+      QuarantineDesk quarantine) {
+    this.quarantine = quarantine;
     this.clock = clock;
     this.settings = settings;
     this.mayGrant = mayGrant;
@@ -75,14 +82,19 @@
     epochs.forEach(
         (id, epoch) -> {
           List<BackendServer> servers = map.shards().getOrDefault(id, List.of());
-          AdmissionShard shard =
-              shards.computeIfAbsent(id, key -> new AdmissionShard(key, clock, settings));
+          AdmissionShard shard = shards.computeIfAbsent(id, this::newShard);
           shard.lease(mayGrant.test(id));
           shard.configure(servers, configuration, epoch);
         });
     deliver();
   }
 
+  private AdmissionShard newShard(ShardId id) {
+    AdmissionShard shard = new AdmissionShard(id, clock, settings);
+    shard.placement(quarantine::mayRun);
+    return shard;
+  }
+
   Set<ShardId> owned() {
     return shards.keySet();
   }
@@ -99,13 +111,27 @@
           round);
       return;
     }
+    boolean runs = granted.getOrDefault(request.shard(), Map.of()).containsKey(request.id());
+    if (!runs && quarantine.isConvicted(request.fingerprint())) {
+      shard.ended(request.id(), AttemptEnd.NOT_SENT, 0);
+      answer(
+          new AdmissionDecision.Refused(
+              request.id(),
+              ResultCode.QUARANTINED,
+              "the request crashed backend servers",
+              QuarantineTable.MEMORY.toMillis()),
+          round);
+      return;
+    }
     rounds.put(request.id(), round);
+    fingerprints.put(request.id(), request.fingerprint());
     shard.lease(true);
     shard.request(request);
     deliver();
   }
 
   void confirmed(PeerMessage.Confirmed message) {
+    quarantine.confirmed(message.attempt(), message.condition().incarnation());
     AdmissionShard shard = current(message.shard());
     if (shard != null) {
       shard.confirmed(message.attempt(), message.condition());
@@ -115,6 +141,8 @@
 
   void ended(PeerMessage.Ended message) {
     rounds.remove(message.attempt());
+    fingerprints.remove(message.attempt());
+    quarantine.ended(message.attempt(), message.end());
     granted.getOrDefault(message.shard(), Map.of()).keySet().remove(message.attempt());
     AdmissionShard shard = current(message.shard());
     if (shard != null) {
@@ -123,7 +151,8 @@
     }
   }
 
-  void loadReport(ShardId id, BackendServerName server, LoadReport report) {
+  void loadReport(ShardId id, BackendServerName server, LoadReport report, Instant askedAt) {
+    quarantine.heard(server, report.condition().incarnation(), askedAt);
     AdmissionShard shard = current(id);
     if (shard != null) {
       shard.loadReport(server, report);
@@ -135,7 +164,7 @@
     AdmissionShard shard = current(message.permit().shard());
     if (shard != null) {
       shard.adopt(message.request(), message.permit(), message.tokens());
-      remember(message.permit().shard(), message.request().id());
+      remember(message.permit(), message.request().fingerprint());
       deliver();
     }
   }
@@ -168,6 +197,7 @@
             .toList();
     for (PermitRequestId id : lost) {
       known.remove(id);
+      quarantine.ended(id, AttemptEnd.CANCELLED);
       shard.ended(id, AttemptEnd.CANCELLED, 0);
     }
     deliver();
@@ -185,6 +215,7 @@
   }
 
   void tick() {
+    quarantine.tick();
     shards.forEach(
         (id, shard) -> {
           shard.lease(mayGrant.test(id));
@@ -193,7 +224,7 @@
     deliver();
   }
 
-  private @org.jspecify.annotations.Nullable AdmissionShard current(ShardId id) {
+  private @Nullable AdmissionShard current(ShardId id) {
     AdmissionShard shard = shards.get(id);
     if (shard != null) {
       shard.lease(mayGrant.test(id));
@@ -205,20 +236,26 @@
     for (AdmissionShard shard : shards.values()) {
       for (AdmissionDecision decision : shard.drain()) {
         if (decision instanceof AdmissionDecision.Granted grant) {
-          remember(grant.permit().shard(), grant.id());
+          remember(grant.permit(), fingerprints.remove(grant.id()));
         }
         answer(decision, rounds.getOrDefault(decision.id(), 0));
       }
     }
   }
 
-  private void remember(ShardId shard, PermitRequestId id) {
-    granted.computeIfAbsent(shard, key -> new HashMap<>()).put(id, clock.instant());
+  private void remember(Permit permit, @Nullable String fingerprint) {
+    granted
+        .computeIfAbsent(permit.shard(), key -> new HashMap<>())
+        .put(permit.id(), clock.instant());
+    if (fingerprint != null) {
+      quarantine.started(permit.shard(), permit.server(), permit.id(), fingerprint);
+    }
   }
 
   private void answer(AdmissionDecision decision, int round) {
     if (!(decision instanceof AdmissionDecision.Queued)) {
       rounds.remove(decision.id());
+      fingerprints.remove(decision.id());
     }
     sender.send(decision.id().node(), new PeerMessage.Decided(decision, round));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.cactusseam.logic.quarantine.QuarantineTable;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.Refusal;
 import org.cactusseam.model.ResultCode;
@@ -60,8 +61,19 @@
   private final Sender sender;
   private final Map<PermitRequestId, Question> questions = new HashMap<>();
   private final Map<PermitRequestId, Running> running = new HashMap<>();
+  private final Map<PermitRequestId, Held> held = new HashMap<>();
   private final Map<ShardId, NodeName> informedOwners = new HashMap<>();
 
+  /** A failure that waits for the owner; the callbacks are empty until someone waits. */
+  private static final class Held {
+    final Instant until;
+    final List<Runnable> callbacks = new ArrayList<>();
+
+    Held(Instant until) {
+      this.until = until;
+    }
+  }
+
   private static final class Question {
     final PermitRequest request;
     final Consumer<PermitAnswer> answer;
@@ -142,10 +154,40 @@
     thread.run(
         () -> {
           running.remove(attempt);
+          if (end == AttemptEnd.BROKEN) {
+            held.put(attempt, new Held(clock.instant().plus(QuarantineTable.SPREAD_LIMIT)));
+          }
           sendEnded(shard, attempt, end, tokens);
         });
   }
 
+  @Override
+  public void whenReleased(PermitRequestId attempt, Runnable then) {
+    Context caller = Vertx.currentContext();
+    Runnable onCaller = () -> caller.runOnContext(ignored -> then.run());
+    thread.run(
+        () -> {
+          Held failure = held.get(attempt);
+          if (failure == null) {
+            onCaller.run();
+          } else {
+            failure.callbacks.add(onCaller);
+          }
+        });
+  }
+
+  /**
+   * Passes on a failure that was held back.
+   *
+   * @param attempt attempt that failed
+   */
+  void released(PermitRequestId attempt) {
+    Held failure = held.remove(attempt);
+    if (failure != null) {
+      failure.callbacks.forEach(Runnable::run);
+    }
+  }
+
   private void start(PermitRequest request, Consumer<PermitAnswer> answer) {
     if (owners.apply(request.shard()).isEmpty()) {
       answer.accept(noOwner(request.shard()));
@@ -234,6 +276,12 @@
   /** Asks again for attempts that wait and gives up those without an answer. */
   void tick() {
     Instant now = clock.instant();
+    List<PermitRequestId> overdue =
+        held.entrySet().stream()
+            .filter(entry -> !now.isBefore(entry.getValue().until))
+            .map(Map.Entry::getKey)
+            .toList();
+    overdue.forEach(this::released);
     for (Question question : List.copyOf(questions.values())) {
       Instant lastRound = question.rounds.get(question.rounds.size() - 1);
       if (!now.isBefore(question.deadline)) {
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/QuarantineDesk.java
@@ -0,0 +1,207 @@
+package org.cactusseam.edge.control;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.cactusseam.logic.quarantine.Placement;
+import org.cactusseam.logic.quarantine.QuarantineTable;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.NodeName;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.admission.AttemptEnd;
+import org.cactusseam.model.admission.PermitRequestId;
+import org.cactusseam.model.message.PeerMessage;
+import org.cactusseam.model.quarantine.CrashId;
+import org.cactusseam.model.quarantine.Suspicions;
+import org.jboss.logging.Logger;
+
+/**
+ * Owns the quarantine table: detects crashes of the servers of owned shards, exchanges suspicions
+ * with the peers and holds failures back until the owners know of a crash.
+ *
+ * <p>Owned by the control thread.
+ */
+final class QuarantineDesk {
+
+  private static final Logger LOG = Logger.getLogger(QuarantineDesk.class);
+
+  private final Clock clock;
+  private final QuarantineTable table;
+  private final PermitRouter.Sender sender;
+  private final Consumer<PeerMessage> toAllPeers;
+  private final Function<ShardId, Collection<NodeName>> ownersOfPool;
+  private final Map<BackendServerName, ServerRuns> servers = new TreeMap<>();
+  private final Map<PermitRequestId, Placed> placed = new HashMap<>();
+  private final Map<PermitRequestId, CrashId> crashes = new HashMap<>();
+  private final Map<PermitRequestId, Held> held = new HashMap<>();
+
+  private record Placed(ShardId shard, BackendServerName server, String fingerprint) {}
+
+  private record Held(Placed placed, Instant since) {}
+
+  /**
+   * Creates a desk that knows nothing.
+   *
+   * @param node this node
+   * @param clock source of time
+   * @param sender sends a message to a node, also this one
+   * @param toAllPeers sends a message to all peers
+   * @param ownersOfPool owners of all shards of a shard's pool
+   */
+  QuarantineDesk(
+      NodeName node,
+      Clock clock,
+      PermitRouter.Sender sender,
+      Consumer<PeerMessage> toAllPeers,
+      Function<ShardId, Collection<NodeName>> ownersOfPool) {
+    this.clock = clock;
+    this.table = new QuarantineTable(node, clock);
+    this.sender = sender;
+    this.toAllPeers = toAllPeers;
+    this.ownersOfPool = ownersOfPool;
+  }
+
+  boolean isConvicted(String fingerprint) {
+    return table.isConvicted(fingerprint);
+  }
+
+  /** Tells whether a request may run beside others; most requests are neither. */
+  boolean mayRun(String fingerprint, Collection<String> running) {
+    if (!table.isSuspect(fingerprint) && !table.isConvicted(fingerprint)) {
+      return true;
+    }
+    return table.place(fingerprint, running) == Placement.ALLOWED;
+  }
+
+  void started(
+      ShardId shard, BackendServerName server, PermitRequestId attempt, String fingerprint) {
+    if (placed.put(attempt, new Placed(shard, server, fingerprint)) == null) {
+      runs(server).started(attempt, fingerprint);
+    }
+  }
+
+  void confirmed(PermitRequestId attempt, String incarnation) {
+    Placed at = placed.get(attempt);
+    if (at != null) {
+      runs(at.server)
+          .confirmed(attempt, incarnation, clock.instant())
+          .ifPresent(crash -> crashed(at.server, crash));
+    }
+  }
+
+  /** Notes an incarnation in a load report. */
+  void heard(BackendServerName server, String incarnation, Instant askedAt) {
+    runs(server).heard(incarnation, askedAt).ifPresent(crash -> crashed(server, crash));
+    release();
+  }
+
+  /** Notes that a server refused a connection. */
+  void refused(BackendServerName server) {
+    runs(server).refused().ifPresent(crash -> crashed(server, crash));
+    release();
+  }
+
+  /** Notes the end of an attempt; a broken one is answered when its failure may be passed on. */
+  void ended(PermitRequestId attempt, AttemptEnd end) {
+    Placed at = placed.remove(attempt);
+    if (at == null) {
+      if (end == AttemptEnd.BROKEN) {
+        sender.send(attempt.node(), new PeerMessage.FailureReleased(attempt));
+      }
+      return;
+    }
+    ServerRuns runs = runs(at.server);
+    if (end != AttemptEnd.BROKEN) {
+      runs.ended(attempt);
+      crashes.remove(attempt);
+      if (end == AttemptEnd.COMPLETED) {
+        table.completed(at.fingerprint);
+      }
+      return;
+    }
+    held.put(attempt, new Held(at, clock.instant()));
+    runs.broke(attempt, clock.instant()).ifPresent(crash -> crashed(at.server, crash));
+    release();
+  }
+
+  private void crashed(BackendServerName server, ServerRuns.Crash crash) {
+    CrashId id = table.crashed(server, crash.incarnation(), crash.attempts().values());
+    crash.attempts().keySet().forEach(attempt -> crashes.put(attempt, id));
+    LOG.warnf(
+        "event=server_crashed server=%s incarnation=%s suspects=%d",
+        server, crash.incarnation(), crash.attempts().size());
+    toAllPeers.accept(new PeerMessage.SuspicionsNews(table.suspicions()));
+  }
+
+  /** Returns the servers that should be asked at once whether they crashed. */
+  List<BackendServerName> suspectedServers() {
+    return servers.entrySet().stream()
+        .filter(entry -> entry.getValue().isSuspected())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  void tick() {
+    table.tick();
+    release();
+    crashes.keySet().removeIf(each -> !held.containsKey(each) && !placed.containsKey(each));
+  }
+
+  private void release() {
+    Instant limit = clock.instant().minus(QuarantineTable.SPREAD_LIMIT);
+    List<PermitRequestId> released =
+        held.entrySet().stream()
+            .filter(
+                entry ->
+                    !entry.getValue().since.isAfter(limit)
+                        || mayPass(entry.getKey(), entry.getValue().placed))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (PermitRequestId attempt : released) {
+      held.remove(attempt);
+      crashes.remove(attempt);
+      sender.send(attempt.node(), new PeerMessage.FailureReleased(attempt));
+    }
+  }
+
+  private boolean mayPass(PermitRequestId attempt, Placed at) {
+    if (runs(at.server).awaits(attempt)) {
+      return false;
+    }
+    return Optional.ofNullable(crashes.get(attempt))
+        .map(crash -> table.isSpread(crash, ownersOfPool.apply(at.shard)))
+        .orElse(true);
+  }
+
+  long digest() {
+    return table.digest();
+  }
+
+  void news(NodeName peer, Suspicions known) {
+    learned(peer, known);
+    sender.send(peer, new PeerMessage.SuspicionsAnswer(table.suspicions()));
+  }
+
+  void learned(NodeName peer, Suspicions known) {
+    table.learned(peer, known);
+    release();
+  }
+
+  void learnedDigest(NodeName peer, long digest) {
+    if (table.learnedDigest(peer, digest)) {
+      sender.send(peer, new PeerMessage.SuspicionsNews(table.suspicions()));
+    }
+    release();
+  }
+
+  private ServerRuns runs(BackendServerName server) {
+    return servers.computeIfAbsent(server, name -> new ServerRuns());
+  }
+}
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -44,6 +44,10 @@
 import org.cactusseam.model.control.StoredRecord;
 import org.cactusseam.model.message.PeerMessage;
 import org.cactusseam.model.message.RequestSummary;
+import org.cactusseam.model.quarantine.Conviction;
+import org.cactusseam.model.quarantine.CrashId;
+import org.cactusseam.model.quarantine.CrashReport;
+import org.cactusseam.model.quarantine.Suspicions;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -93,6 +97,16 @@
           List.of(SERVER),
           "f00d");
 
+  private static final Suspicions SUSPICIONS =
+      new Suspicions(
+          List.of(
+              new CrashReport(
+                  new CrashId(SERVER, "i1", new NodeName("entry-1"), 1_000),
+                  Set.of("f00d", "beef"),
+                  Set.of("beef"),
+                  true)),
+          List.of(new Conviction("f00d", 2_000)));
+
   static Stream<PeerMessage> messages() {
     return Stream.of(
         new PeerMessage.Hello(1, "zopfwerk", MEMBER, "challenge"),
@@ -100,7 +114,10 @@
         new PeerMessage.Ping(4, STATUS),
         new PeerMessage.Pong(4, STATUS),
         new PeerMessage.StatusRequest(),
-        new PeerMessage.Status(STATUS),
+        new PeerMessage.Status(STATUS, -7),
+        new PeerMessage.SuspicionsNews(SUSPICIONS),
+        new PeerMessage.SuspicionsAnswer(Suspicions.NONE),
+        new PeerMessage.FailureReleased(ATTEMPT),
         new PeerMessage.RecordsRequest(12),
         new PeerMessage.Records(List.of(new StoredRecord(12, 1_000, CHANGE))),
         new PeerMessage.State(
@@ -171,7 +188,7 @@
 
   @Property(tries = 10_000, seed = "4712")
   void changed_bytes_of_a_message_never_raise_an_exception(
-      @ForAll @IntRange(max = 23) int index, @ForAll int position, @ForAll byte replacement) {
+      @ForAll @IntRange(max = 26) int index, @ForAll int position, @ForAll byte replacement) {
     PeerMessage message = messages().toList().get(index);
     Buffer frame = PeerCodec.encode(message);
     byte[] value = frame.getBytes(PeerCodec.LENGTH_BYTES, frame.length());
@@ -182,7 +199,7 @@
 
   @Property(tries = 10_000, seed = "4713")
   void frames_do_not_depend_on_how_the_bytes_are_cut(
-      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 23) Integer> indexes,
+      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 26) Integer> indexes,
       @ForAll @IntRange(min = 1, max = 40) int cut) {
     List<PeerMessage> sent = indexes.stream().map(messages().toList()::get).toList();
     Buffer bytes = Buffer.buffer();
