--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/BackendReports.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CacheEventReader.java
@@ -9,11 +9,8 @@
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.ShardId;
 
-/**
- * Reads load reports and cache events of the servers of owned shards. Confined to the control
- * thread.
- */
-final class BackendReports {
+/** Reads events of the prefix caches of engines in owned shards. Confined to the control thread. */
+final class CacheEventReader {
 
   private final LoadPoller poller;
   private final OwnedShards owned;
@@ -25,7 +22,7 @@
     static final Position START = new Position("", 0);
   }
 
-  BackendReports(LoadPoller poller, OwnedShards owned) {
+  CacheEventReader(LoadPoller poller, OwnedShards owned) {
     this.poller = poller;
     this.owned = owned;
   }
@@ -38,7 +35,6 @@
    */
   void poll(ShardId shard, List<BackendServer> servers) {
     for (BackendServer server : servers) {
-      poller.poll(server).onSuccess(report -> owned.loadReport(shard, server.name(), report));
       if (server.kind() == BackendKind.ENGINE) {
         pollEvents(shard, server);
       }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -26,6 +26,7 @@
 import org.cactusseam.logic.control.Membership;
 import org.cactusseam.logic.control.ProvisionalRestrictions;
 import org.cactusseam.logic.control.Verdict;
+import org.cactusseam.logic.membership.Boots;
 import org.cactusseam.logic.membership.MembershipAction;
 import org.cactusseam.logic.membership.MembershipCoordinator;
 import org.cactusseam.logic.membership.MembershipSettings;
@@ -65,6 +66,7 @@
   private final ControlThread thread;
   private final String boot;
   private final VirtualMachineList machines;
+  private final LoadProbes loads;
   private final PeerNetwork network;
   private final ControlLog log;
   private final MembershipCoordinator coordinator;
@@ -72,9 +74,10 @@
   private final ProvisionalRestrictions restrictions = new ProvisionalRestrictions();
   private final Map<ShardId, Handover> standIns = new HashMap<>();
   private final PermitRouter router;
-  private final BackendReports reports;
+  private final CacheEventReader cacheEvents;
   private final OwnedShards owned;
   private final ShardLoads shardLoads = new ShardLoads();
+  private final QuarantineDesk quarantine;
   private final PeerQueries queries;
   private final CommandDesk commands;
   private final ClaimDesk claims;
@@ -118,9 +121,14 @@
     this.log = new ControlLog(vertx, clock, platformLog, settings.platform(), new LogListener());
     this.router =
         new PermitRouter(thread, clock, this::ownerOf, () -> log.state().nextOffset(), this::send);
+    this.quarantine =
+        new QuarantineDesk(self.node(), clock, this::send, this::sendToPeers, this::ownersOfPool);
     this.owned =
-        new OwnedShards(clock, admissionSettings(settings), coordinator::mayGrant, this::send);
-    this.reports = new BackendReports(new LoadPoller(vertx), owned);
+        new OwnedShards(
+            clock, admissionSettings(settings), coordinator::mayGrant, this::send, quarantine);
+    LoadPoller poller = new LoadPoller(vertx);
+    this.loads = new LoadProbes(clock, poller, owned, quarantine, () -> view.shards());
+    this.cacheEvents = new CacheEventReader(poller, owned);
     this.queries = new PeerQueries(vertx, self.node(), network, localRequests);
     this.claims =
         new ClaimDesk(
@@ -271,7 +279,7 @@
     claims.start();
     vertx.setPeriodic(DECISION_INTERVAL_MILLIS, timer -> tick());
     vertx.setPeriodic(INVENTORY_INTERVAL_MILLIS, timer -> router.sendInventories(boot));
-    vertx.setPeriodic(LOAD_INTERVAL_MILLIS, timer -> pollLoads());
+    vertx.setPeriodic(LOAD_INTERVAL_MILLIS, timer -> pollBackendServers());
     vertx.setPeriodic(LIST_INTERVAL_MILLIS, timer -> readList());
     vertx.setPeriodic(SLOW_INTERVAL_MILLIS, timer -> slowTick());
     readList();
@@ -283,6 +291,7 @@
     inForce.tick();
     performActions();
     owned.tick();
+    loads.pollSuspected();
     router.tick();
     commands.tick();
     askMissingOwners();
@@ -305,8 +314,7 @@
     }
     commands.appendPending();
     // Links to other regions carry no pings; without traffic the peer closes them as half-open.
-    PeerMessage status = new PeerMessage.Status(coordinator.status());
-    network.peers().forEach(peer -> network.send(peer, status));
+    sendToPeers(status());
     List<NodeName> active = log.state().membership().active().stream().map(Member::node).toList();
     if (active.contains(self.node())) {
       log.snapshotIfDue(
@@ -359,20 +367,36 @@
   }
 
   private void publishLoads() {
-    List<PeerMessage.LoadOf> loads = owned.loads();
-    if (!loads.isEmpty()) {
-      shardLoads.published(loads);
-      network.peers().forEach(peer -> network.send(peer, new PeerMessage.Loads(loads)));
+    List<PeerMessage.LoadOf> current = owned.loads();
+    if (!current.isEmpty()) {
+      shardLoads.published(current);
+      sendToPeers(new PeerMessage.Loads(current));
     }
   }
 
-  private void pollLoads() {
+  private void pollBackendServers() {
     publishLoads();
+    loads.pollAll();
     for (ShardId shard : List.copyOf(owned.owned())) {
-      reports.poll(shard, view.shards().shards().getOrDefault(shard, List.of()));
+      cacheEvents.poll(shard, view.shards().shards().getOrDefault(shard, List.of()));
     }
   }
 
+  private PeerMessage status() {
+    return new PeerMessage.Status(coordinator.status(), quarantine.digest());
+  }
+
+  private void sendToPeers(PeerMessage message) {
+    network.peers().forEach(peer -> network.send(peer, message));
+  }
+
+  private Set<NodeName> ownersOfPool(ShardId shard) {
+    return log.state().owners().owners().keySet().stream()
+        .filter(other -> other.pool().equals(shard.pool()))
+        .flatMap(other -> ownerOf(other).stream())
+        .collect(Collectors.toSet());
+  }
+
   private void readList() {
     Instant askedAt = clock.instant();
     machines.list().onSuccess(list -> listRead(askedAt, list));
@@ -409,9 +433,12 @@
       case PeerMessage.Decided decided -> router.decided(decided.decision(), decided.round());
       case PeerMessage.Confirmed confirmed -> owned.confirmed(confirmed);
       case PeerMessage.Ended ended -> owned.ended(ended);
+      case PeerMessage.FailureReleased released -> router.released(released.attempt());
+      case PeerMessage.SuspicionsNews news -> quarantine.news(from.node(), news.known());
+      case PeerMessage.SuspicionsAnswer known -> quarantine.learned(from.node(), known.known());
       case PeerMessage.Inventory inventory -> owned.inventory(from.node(), inventory);
       case PeerMessage.Adopt adopt -> owned.adopt(adopt);
-      case PeerMessage.Loads loads -> shardLoads.published(loads.loads());
+      case PeerMessage.Loads published -> shardLoads.published(published.loads());
       case PeerMessage.QueryRequest query -> queries.answer(from.node(), query);
       case PeerMessage.QueryReply reply -> queries.received(reply);
       default -> receivedMembership(from, message);
@@ -460,9 +487,11 @@
         inForce.statusReceived(pong.status());
         coordinator.pongReceived(pong.sequence(), pong.status());
       }
-      case PeerMessage.StatusRequest request ->
-          send(from.node(), new PeerMessage.Status(coordinator.status()));
-      case PeerMessage.Status status -> inForce.statusReceived(status.status());
+      case PeerMessage.StatusRequest request -> send(from.node(), status());
+      case PeerMessage.Status status -> {
+        inForce.statusReceived(status.status());
+        quarantine.learnedDigest(from.node(), status.suspicions());
+      }
       case PeerMessage.RecordsRequest request -> sendRecords(from.node(), request.fromOffset());
       case PeerMessage.Records records -> log.receivedRecords(records.records());
       case PeerMessage.State state -> log.receivedState(state.snapshot());
@@ -480,7 +509,8 @@
   }
 
   private boolean sendToClaimant(ClaimId claim, PeerMessage message) {
-    if (!claim.boot().equals(boots.get(claim.node()))) {
+    String current = boots.get(claim.node());
+    if (current == null || !Boots.areOfOneProcess(claim.boot(), current)) {
       return false;
     }
     return network.send(claim.node(), message);
@@ -514,15 +544,20 @@
   public void connected(Member peer) {
     LOG.infof("event=peer_connected peer=%s boot=%s", peer.node(), peer.boot());
     coordinator.bootSeen(RunId.of(peer));
-    boots.put(peer.node(), peer.boot());
-    owned.requesterLost(peer.node(), peer.boot());
+    String before = boots.put(peer.node(), peer.boot());
+    if (before != null && !Boots.areOfOneProcess(before, peer.boot())) {
+      owned.requesterLost(peer.node(), Boots.ofProcess(before));
+    }
     performActions();
   }
 
   @Override
   public void refused(NodeName peer, Instant attemptedAt) {
     coordinator.connectionRefused(peer, attemptedAt);
-    boots.remove(peer);
+    String ended = boots.remove(peer);
+    if (ended != null) {
+      owned.requesterLost(peer, Boots.ofProcess(ended));
+    }
   }
 
   /**
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -50,6 +50,10 @@
 import org.cactusseam.model.control.StoredRecord;
 import org.cactusseam.model.message.PeerMessage;
 import org.cactusseam.model.message.RequestSummary;
+import org.cactusseam.model.quarantine.Conviction;
+import org.cactusseam.model.quarantine.CrashId;
+import org.cactusseam.model.quarantine.CrashReport;
+import org.cactusseam.model.quarantine.Suspicions;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -103,6 +107,16 @@
           List.of(SERVER),
           "f00d");
 
+  private static final Suspicions SUSPICIONS =
+      new Suspicions(
+          List.of(
+              new CrashReport(
+                  new CrashId(SERVER, "i1", new NodeName("entry-1"), 1_000),
+                  Set.of("f00d", "beef"),
+                  Set.of("beef"),
+                  true)),
+          List.of(new Conviction("f00d", 2_000)));
+
   static Stream<PeerMessage> messages() {
     return Stream.of(
         new PeerMessage.Hello(1, "zopfwerk", MEMBER, "challenge"),
@@ -110,7 +124,10 @@
         new PeerMessage.Ping(4, STATUS),
         new PeerMessage.Pong(4, STATUS),
         new PeerMessage.StatusRequest(),
-        new PeerMessage.Status(STATUS),
+        new PeerMessage.Status(STATUS, -7),
+        new PeerMessage.SuspicionsNews(SUSPICIONS),
+        new PeerMessage.SuspicionsAnswer(Suspicions.NONE),
+        new PeerMessage.FailureReleased(ATTEMPT),
         new PeerMessage.RecordsRequest(12),
         new PeerMessage.Records(List.of(new StoredRecord(12, 1_000, CHANGE))),
         new PeerMessage.State(
