Give the token bucket of the weight store its own class and tests

Change: StoreTokens holds the bucket; StoreTokensTest and OrderClientTest cover takeover wait, lease, rate, statuses and the right to send.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -73,6 +73,7 @@
   private final PeerQueries queries;
   private final CommandDesk commands;
   private final ClaimDesk claims;
+  private final StoreTokens tokens;
   private final OrderDesk orders;
   private final Map<NodeName, String> boots = new HashMap<>();
   private Member self;
@@ -120,15 +121,10 @@
     this.claims =
         new ClaimDesk(
             vertx, thread, clock, platformLog, settings.platform(), self, this::sendToClaimant);
+    this.tokens = new StoreTokens(clock, self.node(), times, this::send);
     this.orders =
         new OrderDesk(
-            clock,
-            self,
-            times,
-            new OrderClient(vertx),
-            coordinator::mayGrant,
-            log::append,
-            this::send);
+            clock, self, tokens, new OrderClient(vertx), coordinator::mayGrant, log::append);
     this.commands =
         new CommandDesk(
             vertx, self.node(), log, inForce, restrictions, network, queries, this::changed);
@@ -178,7 +174,7 @@
     public void read(Instant sentAt, boolean current) {
       coordinator.logRead(sentAt, current);
       if (current) {
-        orders.logRead(sentAt);
+        tokens.logRead(sentAt);
       }
     }
 
@@ -442,7 +438,7 @@
           coordinator.handoverAcknowledged(accepted.handover());
       case PeerMessage.ClaimQuestion question -> send(from.node(), claims.answer(question));
       case PeerMessage.ClaimReply reply -> claims.answered(reply);
-      case PeerMessage.AskOrderToken ask -> orders.tokenAsked(from.node(), ask.order());
+      case PeerMessage.AskOrderToken ask -> tokens.asked(from.node(), ask.order());
       case PeerMessage.OrderToken token -> orders.tokenGranted(token.order());
       case PeerMessage.StandIn standIn -> noteStandIn(standIn.handover());
       case PeerMessage.Restriction restriction -> restrict(from.node(), restriction.order());
