Refuse orders with a blank name and restart the killed owner in the test

Cause: an order with a blank name raised an exception on the control thread and left the operator without an answer. A failed case of EngineOrdersTest left its owner dead, so that the following cases failed for that reason only.

Change: CommandDesk answers INVALID_COMMAND; the test restarts the owner in any case.

The blank name was not run against the code before the check.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
@@ -227,8 +227,9 @@
     if (server.get().kind() != BackendKind.ENGINE) {
       return invalid("server " + order.server() + " is not an engine");
     }
-    return record(
-        new OrderRecord.Issued(commandId, order.server(), OrderReport.orderOf(order), operator));
+    return OrderReport.orderOf(order)
+        .map(what -> record(new OrderRecord.Issued(commandId, order.server(), what, operator)))
+        .orElseGet(() -> invalid("an order needs a name that is not blank"));
   }
 
   private static Future<CommandResult> invalid(String message) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderReport.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderReport.java
@@ -13,14 +13,18 @@
 
   private OrderReport() {}
 
-  static ServerOrder orderOf(Command.ServerOrder command) {
+  /** Returns the order of a command, or empty if its name is blank. */
+  static Optional<ServerOrder> orderOf(Command.ServerOrder command) {
     return switch (command) {
-      case Command.Load load -> new ServerOrder(kindOf(load.artifact()), load.name());
-      case Command.ChangeRole change ->
-          new ServerOrder(ServerOrder.Kind.CHANGE_ROLE, change.role());
+      case Command.Load load -> order(kindOf(load.artifact()), load.name());
+      case Command.ChangeRole change -> order(ServerOrder.Kind.CHANGE_ROLE, change.role());
     };
   }
 
+  private static Optional<ServerOrder> order(ServerOrder.Kind kind, String name) {
+    return name.isBlank() ? Optional.empty() : Optional.of(new ServerOrder(kind, name));
+  }
+
   private static ServerOrder.Kind kindOf(Command.Artifact artifact) {
     return switch (artifact) {
       case MODEL -> ServerOrder.Kind.LOAD_MODEL;
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
@@ -99,21 +99,25 @@
     }
     system.process(owner).kill();
 
-    awaitState(other, id, "done");
-    Eventually.pause(SECOND_SEND);
-    assertThat(applied(engine), is(before + 1));
-    system.fault(engine, "{\"lose_order_answers\":0}");
-    system.restart(owner);
-    system.awaitReady(owner);
+    try {
+      awaitState(other, id, "done");
+      Eventually.pause(SECOND_SEND);
+      assertThat(applied(engine), is(before + 1));
+    } finally {
+      system.fault(engine, "{\"lose_order_answers\":0}");
+      system.restart(owner);
+      system.awaitReady(owner);
+    }
   }
 
   @ParameterizedTest(name = "{0}")
   @ValueSource(
       strings = {
         "load model \"m\" on server nowhere",
-        "change role of server app-1 to \"prefill\""
+        "change role of server app-1 to \"prefill\"",
+        "load model \" \" on server checked"
       })
-  void an_order_to_a_server_that_is_no_engine_is_refused(String command) {
+  void an_order_that_no_engine_can_carry_out_is_refused(String command) {
     assertThat(system.command("entry-1", command), startsWith("INVALID_COMMAND"));
   }
 
