--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -42,6 +42,8 @@
   @JsonSubTypes.Type(value = PeerMessage.ClaimQuestion.class, name = "claim-question"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimReply.class, name = "claim-reply"),
   @JsonSubTypes.Type(value = PeerMessage.Loads.class, name = "loads"),
+  @JsonSubTypes.Type(value = PeerMessage.AskOrderToken.class, name = "ask-order-token"),
+  @JsonSubTypes.Type(value = PeerMessage.OrderToken.class, name = "order-token"),
   @JsonSubTypes.Type(value = PeerMessage.AskPermit.class, name = "ask"),
   @JsonSubTypes.Type(value = PeerMessage.Decided.class, name = "decided"),
   @JsonSubTypes.Type(value = PeerMessage.Confirmed.class, name = "confirmed"),
@@ -312,4 +314,19 @@
    * @param load summary
    */
   record LoadOf(ShardId shard, ShardLoad load) {}
+
+  /**
+   * Asks the holder of the weight store's token bucket for a token. It is repeated while the order
+   * waits; a receiver that does not hold the bucket ignores it.
+   *
+   * @param order offset of the order
+   */
+  record AskOrderToken(long order) implements PeerMessage {}
+
+  /**
+   * Grants a token for one send of an order.
+   *
+   * @param order offset of the order
+   */
+  record OrderToken(long order) implements PeerMessage {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cactusseam.edge.backend.LoadPoller;
+import org.cactusseam.edge.backend.OrderClient;
 import org.cactusseam.edge.peer.PeerListener;
 import org.cactusseam.edge.peer.PeerNetwork;
 import org.cactusseam.edge.platform.AppendOnlyLog;
@@ -44,6 +45,7 @@
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.Handover;
 import org.cactusseam.model.control.Member;
+import org.cactusseam.model.control.OrderRecord;
 import org.cactusseam.model.control.RunId;
 import org.cactusseam.model.control.ShardOwner;
 import org.cactusseam.model.message.PeerMessage;
@@ -81,6 +83,8 @@
   private final PeerQueries queries;
   private final CommandDesk commands;
   private final ClaimDesk claims;
+  private final StoreTokens tokens;
+  private final OrderDesk orders;
   private final Map<NodeName, String> boots = new HashMap<>();
   private Member self;
   private volatile RoutingView view = RoutingView.EMPTY;
@@ -133,6 +137,10 @@
     this.claims =
         new ClaimDesk(
             vertx, thread, clock, platformLog, settings.platform(), self, this::sendToClaimant);
+    this.tokens = new StoreTokens(clock, self.node(), times, this::send);
+    this.orders =
+        new OrderDesk(
+            clock, self, tokens, new OrderClient(vertx), coordinator::mayGrant, log::append);
     this.commands =
         new CommandDesk(
             vertx, self.node(), log, inForce, restrictions, network, queries, this::changed);
@@ -165,6 +173,9 @@
       if (record instanceof ControlRecord.Change change) {
         follow(change, before);
       }
+      if (record instanceof OrderRecord.Issued issued) {
+        commands.recorded(issued.commandId());
+      }
       stateChanged();
     }
 
@@ -179,6 +190,9 @@
     public void read(Instant sentAt, boolean current) {
       logAvailable = true;
       coordinator.logRead(sentAt, current);
+      if (current) {
+        tokens.logRead(sentAt);
+      }
     }
 
     @Override
@@ -208,6 +222,7 @@
   private void stateChanged() {
     restrictions.applied(log.state());
     inForce.applied(log.state());
+    orders.applied(log.state());
     claims.appendingNodes(log.state().membership().entries().size());
     dropOldStandIns();
     connectMembers();
@@ -292,6 +307,7 @@
     performActions();
     owned.tick();
     loads.pollSuspected();
+    orders.tick(owned.owned(), view.shards());
     router.tick();
     commands.tick();
     askMissingOwners();
@@ -500,6 +516,8 @@
           coordinator.handoverAcknowledged(accepted.handover());
       case PeerMessage.ClaimQuestion question -> send(from.node(), claims.answer(question));
       case PeerMessage.ClaimReply reply -> claims.answered(reply);
+      case PeerMessage.AskOrderToken ask -> tokens.asked(from.node(), ask.order());
+      case PeerMessage.OrderToken token -> orders.tokenGranted(token.order());
       case PeerMessage.StandIn standIn -> noteStandIn(standIn.handover());
       case PeerMessage.Restriction restriction -> restrict(from.node(), restriction.order());
       case PeerMessage.RestrictionAnswer answer -> commands.restrictionAnswered(answer);
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
@@ -0,0 +1,176 @@
+package org.cactusseam.edge.control;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.cactusseam.edge.backend.OrderClient;
+import org.cactusseam.logic.control.ControlState;
+import org.cactusseam.logic.membership.ShardMap;
+import org.cactusseam.logic.orders.OrderAction;
+import org.cactusseam.logic.orders.OrderAnswer;
+import org.cactusseam.logic.orders.OrderBook;
+import org.cactusseam.logic.orders.OrderExecutor;
+import org.cactusseam.model.BackendKind;
+import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.control.Member;
+import org.cactusseam.model.control.OrderRecord;
+import org.jboss.logging.Logger;
+
+/**
+ * Carries out the orders to the engines of the shards that this daemon owns. Confined to the
+ * control thread.
+ */
+final class OrderDesk {
+
+  private static final Logger LOG = Logger.getLogger(OrderDesk.class);
+
+  private final Clock clock;
+  private final OrderClient client;
+  private final Predicate<ShardId> mayGrant;
+  private final Consumer<OrderRecord> appender;
+  private final StoreTokens tokens;
+  private final OrderExecutor executor;
+  private final Map<BackendServerName, Target> targets = new HashMap<>();
+  private OrderBook book = OrderBook.EMPTY;
+
+  private record Target(ShardId shard, BackendServer server) {}
+
+  OrderDesk(
+      Clock clock,
+      Member self,
+      StoreTokens tokens,
+      OrderClient client,
+      Predicate<ShardId> mayGrant,
+      Consumer<OrderRecord> appender) {
+    this.clock = clock;
+    this.tokens = tokens;
+    this.client = client;
+    this.mayGrant = mayGrant;
+    this.appender = appender;
+    this.executor = new OrderExecutor(self.node(), self.boot(), clock);
+  }
+
+  /**
+   * Notes the control state after it changed.
+   *
+   * @param state control state
+   */
+  void applied(ControlState state) {
+    tokens.applied(state.membership());
+    if (state.orders() != book) {
+      book = state.orders();
+      executor.ordersChanged(book);
+      perform();
+    }
+  }
+
+  /**
+   * Lets time pass.
+   *
+   * @param owned shards that this daemon owns or is about to own
+   * @param map servers of all shards
+   */
+  void tick(Set<ShardId> owned, ShardMap map) {
+    followOwnership(owned, map);
+    tokens.tick();
+    executor.tick();
+    perform();
+  }
+
+  private void followOwnership(Set<ShardId> owned, ShardMap map) {
+    Map<BackendServerName, Target> current = new HashMap<>();
+    for (ShardId shard : owned) {
+      if (mayGrant.test(shard)) {
+        map.shards().getOrDefault(shard, List.of()).stream()
+            .filter(server -> server.kind() == BackendKind.ENGINE)
+            .forEach(server -> current.put(server.name(), new Target(shard, server)));
+      }
+    }
+    for (BackendServerName name : Set.copyOf(targets.keySet())) {
+      if (!current.containsKey(name)) {
+        targets.remove(name);
+        executor.disown(name);
+      }
+    }
+    current.forEach(
+        (name, target) -> {
+          if (!target.equals(targets.put(name, target))) {
+            executor.own(name, target.server().checksFencing());
+          }
+        });
+  }
+
+  /**
+   * Notes a token.
+   *
+   * @param order offset of the order
+   */
+  void tokenGranted(long order) {
+    executor.tokenGranted(order);
+    perform();
+  }
+
+  private void perform() {
+    for (OrderAction action : executor.drain()) {
+      switch (action) {
+        case OrderAction.ReadState read -> readState(read);
+        case OrderAction.AskToken ask -> tokens.ask(ask.order());
+        case OrderAction.Append append -> appender.accept(append.orderRecord());
+        case OrderAction.Send send -> send(send);
+      }
+    }
+  }
+
+  private void readState(OrderAction.ReadState read) {
+    Target target = targets.get(read.server());
+    if (target == null) {
+      return;
+    }
+    Instant askedAt = clock.instant();
+    client
+        .read(target.server(), read.what())
+        .onSuccess(
+            reading -> {
+              executor.stateRead(read.order(), askedAt, reading.incarnation(), reading.state());
+              perform();
+            });
+  }
+
+  private void send(OrderAction.Send send) {
+    Target target = targets.get(send.server());
+    if (target == null) {
+      return;
+    }
+    client
+        .send(
+            target.server(),
+            send.what(),
+            send.order(),
+            () -> executor.begin(send.order(), mayGrant.test(target.shard())))
+        .onSuccess(answer -> answer.ifPresent(found -> answered(send, found)))
+        .onFailure(cause -> lost(send, cause));
+  }
+
+  private void answered(OrderAction.Send send, OrderAnswer answer) {
+    LOG.infof(
+        "event=order_answered order=%d server=%s answer=%s", send.order(), send.server(), answer);
+    executor.answered(send.order(), answer);
+    perform();
+  }
+
+  /** The executor ignores this for an order that was not written. */
+  private void lost(OrderAction.Send send, Throwable cause) {
+    LOG.warnf(
+        "event=order_answer_lost order=%d server=%s cause=\"%s\"",
+        send.order(), send.server(), cause.getMessage());
+    executor.answerLost(send.order());
+    perform();
+  }
+}
