--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -105,7 +105,11 @@
         new PeerMessage.Records(List.of(new StoredRecord(12, 1_000, CHANGE))),
         new PeerMessage.State(
             new ControlRecord.Snapshot(
-                13, 1_000, 0, 1, List.of(new SnapshotEntry.Tombstone(KEY, 12, 1_000)))),
+                13,
+                1_000,
+                0,
+                1,
+                List.of(new SnapshotEntry.Tombstone(KEY, 12, 1_000, Optional.of(SHARD))))),
         new PeerMessage.HandOver(HANDOVER),
         new PeerMessage.HandOverAccepted(HANDOVER),
         new PeerMessage.StandIn(HANDOVER),
