--- a/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
@@ -127,6 +127,8 @@
           window:
             step: 1000
             step-interval: 0ms
+        shutdown:
+          grace: 0ms
         """
             .formatted(callerPort, operatorPort, peer, log, list);
     try {
--- a/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkProcess.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkProcess.java
@@ -71,7 +71,7 @@
   public void close() {
     process.destroy();
     try {
-      if (!process.waitFor(5, java.util.concurrent.TimeUnit.SECONDS)) {
+      if (!process.waitFor(20, java.util.concurrent.TimeUnit.SECONDS)) {
         process.destroyForcibly();
       }
     } catch (InterruptedException e) {
