--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.time.Clock;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
@@ -13,7 +12,6 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.cactusseam.edge.backend.LoadPoller;
 import org.cactusseam.edge.backend.OrderClient;
 import org.cactusseam.edge.peer.PeerListener;
@@ -22,7 +20,6 @@
 import org.cactusseam.edge.platform.VirtualMachine;
 import org.cactusseam.edge.platform.VirtualMachineList;
 import org.cactusseam.edge.settings.Settings;
-import org.cactusseam.logic.admission.AdmissionSettings;
 import org.cactusseam.logic.control.InForceTracker;
 import org.cactusseam.logic.control.Membership;
 import org.cactusseam.logic.control.ProvisionalRestrictions;
@@ -34,20 +31,14 @@
 import org.cactusseam.logic.membership.Ownership;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
-import org.cactusseam.model.ObjectKey;
-import org.cactusseam.model.ObjectKind;
-import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.AdmissionDecision;
-import org.cactusseam.model.admission.Permit;
-import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.claim.ClaimId;
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.Handover;
 import org.cactusseam.model.control.Member;
 import org.cactusseam.model.control.OrderRecord;
 import org.cactusseam.model.control.RunId;
-import org.cactusseam.model.control.ShardOwner;
 import org.cactusseam.model.message.PeerMessage;
 import org.cactusseam.model.message.RequestSummary;
 import org.jboss.logging.Logger;
@@ -60,7 +51,6 @@
   private static final long INVENTORY_INTERVAL_MILLIS = 1_000;
   private static final long LOAD_INTERVAL_MILLIS = 250;
   private static final long LIST_INTERVAL_MILLIS = 1_000;
-  private static final long STALE_RETRY_MILLIS = 100;
   private static final long SLOW_INTERVAL_MILLIS = 2_000;
 
   private final Vertx vertx;
@@ -74,7 +64,7 @@
   private final MembershipCoordinator coordinator;
   private final InForceTracker inForce;
   private final ProvisionalRestrictions restrictions = new ProvisionalRestrictions();
-  private final Map<ShardId, Handover> standIns = new HashMap<>();
+  private final ShardOwnership ownership;
   private final PermitRouter router;
   private final CacheEventReader cacheEvents;
   private final OwnedShards owned;
@@ -119,17 +109,20 @@
     this.network =
         new PeerNetwork(
             vertx, clock, settings.keys().cluster().bytes(), settings.deployment(), self, this);
-    MembershipSettings times = membershipSettings(settings);
+    MembershipSettings times = CoreSettings.membership(settings);
     this.coordinator = new MembershipCoordinator(self, times, clock);
     this.inForce = new InForceTracker(clock, times.permitValidity());
     this.log = new ControlLog(vertx, clock, platformLog, settings.platform(), new LogListener());
+    this.ownership = new ShardOwnership(log::state);
     this.router =
-        new PermitRouter(thread, clock, this::ownerOf, () -> log.state().nextOffset(), this::send);
+        new PermitRouter(
+            thread, clock, ownership::ownerOf, () -> log.state().nextOffset(), this::send);
     this.quarantine =
-        new QuarantineDesk(self.node(), clock, this::send, this::sendToPeers, this::ownersOfPool);
+        new QuarantineDesk(
+            self.node(), clock, this::send, this::sendToPeers, ownership::ownersOfPool);
     this.owned =
         new OwnedShards(
-            clock, admissionSettings(settings), coordinator::mayGrant, this::send, quarantine);
+            clock, CoreSettings.admission(settings), coordinator::mayGrant, this::send, quarantine);
     LoadPoller poller = new LoadPoller(vertx);
     this.loads = new LoadProbes(clock, poller, owned, quarantine, () -> view.shards());
     this.cacheEvents = new CacheEventReader(poller, owned);
@@ -146,26 +139,6 @@
             vertx, self.node(), log, inForce, restrictions, network, queries, this::changed);
   }
 
-  private static MembershipSettings membershipSettings(Settings settings) {
-    MembershipSettings standard = MembershipSettings.DEFAULT;
-    return new MembershipSettings(
-        standard.lease(),
-        Duration.ofMillis(Permit.VALIDITY_MILLIS),
-        standard.driftMargin(),
-        standard.detection(),
-        settings.platform().vmListLag(),
-        standard.pingInterval(),
-        standard.appendRetry(),
-        standard.monitoredMembers(),
-        standard.meshMembers());
-  }
-
-  private static AdmissionSettings admissionSettings(Settings settings) {
-    return "flagline".equals(settings.deployment())
-        ? AdmissionSettings.flagline()
-        : AdmissionSettings.zopfwerk();
-  }
-
   private final class LogListener implements ControlLog.Listener {
     @Override
     public void applied(ControlRecord record, Configuration before) {
@@ -224,7 +197,7 @@
     inForce.applied(log.state());
     orders.applied(log.state());
     claims.appendingNodes(log.state().membership().entries().size());
-    dropOldStandIns();
+    ownership.changed();
     connectMembers();
     changed();
   }
@@ -240,44 +213,8 @@
   }
 
   private void configureShards() {
-    Map<ShardId, Long> epochs = new HashMap<>();
-    RunId run = RunId.of(coordinator.self());
-    log.state()
-        .owners()
-        .owners()
-        .forEach(
-            (shard, owner) ->
-                owner
-                    .filter(found -> found.run().equals(run) || standsInFor(shard, found, run))
-                    .ifPresent(found -> epochs.put(shard, found.epoch())));
-    owned.configure(epochs, view.shards(), view.configuration());
-  }
-
-  private boolean standsInFor(ShardId shard, ShardOwner owner, RunId run) {
-    Handover handover = standIns.get(shard);
-    return handover != null
-        && handover.onBehalfOf().equals(owner.run())
-        && handover.to().equals(run);
-  }
-
-  private void dropOldStandIns() {
-    standIns
-        .entrySet()
-        .removeIf(
-            entry ->
-                log.state()
-                    .owners()
-                    .of(entry.getKey())
-                    .map(owner -> !owner.run().equals(entry.getValue().onBehalfOf()))
-                    .orElse(true));
-  }
-
-  private Optional<NodeName> ownerOf(ShardId shard) {
-    Handover handover = standIns.get(shard);
-    if (handover != null) {
-      return Optional.of(handover.to().node());
-    }
-    return log.state().owners().of(shard).map(owner -> owner.run().node());
+    owned.configure(
+        ownership.epochsOf(RunId.of(coordinator.self())), view.shards(), view.configuration());
   }
 
   /**
@@ -374,7 +311,7 @@
   }
 
   private void accept(Handover handover) {
-    standIns.put(handover.shard(), handover);
+    ownership.handedOver(handover);
     send(handover.from().node(), new PeerMessage.HandOverAccepted(handover));
     for (NodeName peer : network.peers()) {
       network.send(peer, new PeerMessage.StandIn(handover));
@@ -406,13 +343,6 @@
     network.peers().forEach(peer -> network.send(peer, message));
   }
 
-  private Set<NodeName> ownersOfPool(ShardId shard) {
-    return log.state().owners().owners().keySet().stream()
-        .filter(other -> other.pool().equals(shard.pool()))
-        .flatMap(other -> ownerOf(other).stream())
-        .collect(Collectors.toSet());
-  }
-
   private void readList() {
     Instant askedAt = clock.instant();
     machines.list().onSuccess(list -> listRead(askedAt, list));
@@ -461,36 +391,14 @@
     }
   }
 
-  /**
-   * A requester that has not read the last change of the account, its class or the route must not
-   * send the request: the change is in force. It gets the records that it lacks, so that it can
-   * decide again.
-   */
   private void asked(Member from, PeerMessage.AskPermit ask) {
-    if (!isStale(ask)) {
+    Optional<AdmissionDecision> refusal = StaleViews.refusal(ask, log.state().configuration());
+    if (refusal.isPresent()) {
+      sendRecords(from.node(), ask.viewOffset());
+      send(from.node(), new PeerMessage.Decided(refusal.get(), ask.round()));
+    } else {
       owned.ask(ask.request(), ask.round());
-      return;
     }
-    sendRecords(from.node(), ask.viewOffset());
-    send(
-        from.node(),
-        new PeerMessage.Decided(
-            new AdmissionDecision.Refused(
-                ask.request().id(),
-                ResultCode.NOT_READY,
-                "the configuration of the request has changed",
-                STALE_RETRY_MILLIS),
-            ask.round()));
-  }
-
-  private boolean isStale(PeerMessage.AskPermit ask) {
-    Configuration configuration = log.state().configuration();
-    PermitRequest request = ask.request();
-    return Stream.of(
-            new ObjectKey(ObjectKind.ACCOUNT, request.account().value()),
-            new ObjectKey(ObjectKind.PRIORITY_CLASS, request.priorityClass().value()),
-            new ObjectKey(ObjectKind.ROUTE, request.route().value()))
-        .anyMatch(key -> configuration.revision(key).orElse(-1) >= ask.viewOffset());
   }
 
   private void receivedMembership(Member from, PeerMessage message) {
@@ -518,7 +426,7 @@
       case PeerMessage.ClaimReply reply -> claims.answered(reply);
       case PeerMessage.AskOrderToken ask -> tokens.asked(from.node(), ask.order());
       case PeerMessage.OrderToken token -> orders.tokenGranted(token.order());
-      case PeerMessage.StandIn standIn -> noteStandIn(standIn.handover());
+      case PeerMessage.StandIn standIn -> ownership.handedOver(standIn.handover());
       case PeerMessage.Restriction restriction -> restrict(from.node(), restriction.order());
       case PeerMessage.RestrictionAnswer answer -> commands.restrictionAnswered(answer);
       default -> LOG.warnf("event=unexpected_message peer=%s", from.node());
@@ -534,11 +442,6 @@
     return network.send(claim.node(), message);
   }
 
-  private void noteStandIn(Handover handover) {
-    standIns.put(handover.shard(), handover);
-    dropOldStandIns();
-  }
-
   private void restrict(NodeName from, ControlRecord.Change order) {
     boolean applied = restrictions.add(order, log.state());
     changed();
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -136,7 +136,7 @@
                 1_000,
                 0,
                 1,
-                List.of(new SnapshotEntry.Tombstone(KEY, 12, 1_000, Optional.empty())))),
+                List.of(new SnapshotEntry.Tombstone(KEY, 12, 1_000, Optional.of(SHARD))))),
         new PeerMessage.HandOver(HANDOVER),
         new PeerMessage.HandOverAccepted(HANDOVER),
         new PeerMessage.StandIn(HANDOVER),
