Write all log lines through the structured log and report progress less often

Change: one way of logging; progress is reported twice a second, since inventories carry it once a second.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
@@ -14,6 +16,7 @@
 import org.cactusseam.edge.caller.CallerServer;
 import org.cactusseam.edge.caller.CallerServices;
 import org.cactusseam.edge.control.ControlPlane;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.metrics.RequestMetrics;
 import org.cactusseam.edge.operator.OperatorServer;
 import org.cactusseam.edge.platform.HttpAppendOnlyLog;
@@ -22,13 +25,12 @@
 import org.cactusseam.model.Refusal;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.control.Member;
-import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /** The entry daemon as a library: everything that {@code cactusseam serve} runs. */
 public final class EntryDaemon {
 
-  private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
+  private static final StructuredLog LOG = StructuredLog.of(EntryDaemon.class);
   private static final int RANDOM_CHARACTERS = 4;
 
   /** Entry VMs are small; one control thread and this many traffic threads fit them. */
@@ -84,9 +86,11 @@
         .compose(deployed -> deployTraffic())
         .onSuccess(
             ignored ->
-                LOG.infof(
-                    "event=started node=%s boot=%s caller=%s",
-                    self.node(), self.boot(), settings.addresses().caller()));
+                LOG.info(
+                    "started",
+                    field("node", self.node()),
+                    field("boot", self.boot()),
+                    field("caller", settings.addresses().caller())));
   }
 
   private final class ControlVerticle extends VerticleBase {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/ShutdownSignals.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/ShutdownSignals.java
@@ -1,12 +1,14 @@
 package org.cactusseam.edge;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import java.util.concurrent.CountDownLatch;
 import org.cactusseam.edge.caller.ActiveRequests;
 import org.cactusseam.edge.control.ControlPlane;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.shutdown.ShutdownAction;
 import org.cactusseam.logic.shutdown.ShutdownCoordinator;
 import org.cactusseam.logic.shutdown.ShutdownSettings;
-import org.jboss.logging.Logger;
 import sun.misc.Signal;
 
 /**
@@ -15,7 +17,7 @@
  */
 final class ShutdownSignals {
 
-  private static final Logger LOG = Logger.getLogger(ShutdownSignals.class);
+  private static final StructuredLog LOG = StructuredLog.of(ShutdownSignals.class);
   private static final long TICK_MILLIS = 50;
 
   private final EntryDaemon daemon;
@@ -48,7 +50,7 @@
   }
 
   private void received() {
-    LOG.infof("event=signal_received open_requests=%d", (Object) active.size());
+    LOG.info("signal_received", field("open_requests", active.size()));
     control.run(
         () -> {
           coordinator.signal();
@@ -70,7 +72,7 @@
 
   private void perform() {
     for (ShutdownAction action : coordinator.drain()) {
-      LOG.infof("event=shutdown_step action=%s", action.getClass().getSimpleName());
+      LOG.info("shutdown_step", field("action", action.getClass().getSimpleName()));
       switch (action) {
         case ShutdownAction.FailReadiness fail ->
             daemon.setReadiness(EntryDaemon.Readiness.LEAVING);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -23,6 +23,7 @@
 import java.util.function.Supplier;
 import org.cactusseam.edge.backend.Headers;
 import org.cactusseam.edge.control.RoutingView;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.settings.Settings;
 import org.cactusseam.logic.stream.GenerationId;
 import org.cactusseam.model.BackendServer;
@@ -34,6 +35,7 @@
 /** HTTP interface towards callers; one instance for each event loop that serves traffic. */
 public final class CallerServer extends VerticleBase {
 
+  private static final StructuredLog LOG = StructuredLog.of(CallerServer.class);
   private static final String ACCOUNT = "account";
   private static final String BEARER = "Bearer ";
   private static final String BODY_TIMER = "body-timer";
@@ -357,8 +359,7 @@
     } else if (context.failure() == null) {
       refuse(context, Refusal.permanent(ResultCode.MALFORMED_REQUEST, "the request is malformed"));
     } else {
-      org.jboss.logging.Logger.getLogger(CallerServer.class)
-          .error("event=request_failed", context.failure());
+      LOG.error("request_failed", context.failure());
       refuse(context, Refusal.permanent(ResultCode.INTERNAL_ERROR, "internal error"));
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -11,6 +11,7 @@
 import io.vertx.core.json.JsonObject;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import org.cactusseam.edge.backend.GenerationRelay;
 import org.cactusseam.edge.backend.Headers;
@@ -19,6 +20,7 @@
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.admission.AttemptEnd;
 import org.cactusseam.model.admission.BackendCondition;
+import org.cactusseam.model.admission.PermitRequestId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,6 +31,7 @@
 final class ModelRequest implements AttemptLoop.Sender, GenerationRelay.Sink {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
   private static final int STATUS_OK = 200;
   private static final int STATUS_CLIENT_ERROR = 400;
   private static final int STATUS_SERVER_ERROR = 500;
@@ -51,6 +54,7 @@
   private @Nullable GenerationRelay relay;
   private @Nullable GenerationId generation;
   private final Context loop = Vertx.currentContext();
+  private Instant nextReport = Instant.MIN;
   private boolean ended;
 
   ModelRequest(
@@ -237,7 +241,19 @@
       answer.token(generation, index, data);
       journal.token();
       entry.streaming(index + 1);
-      services.admission().progress(current.permit().id(), index + 1);
+      reportProgress(current.permit().id(), index + 1);
+    }
+  }
+
+  /**
+   * Inventories carry progress once a second; a report for each token would only wake the control
+   * thread.
+   */
+  private void reportProgress(PermitRequestId attempt, long tokens) {
+    Instant now = services.clock().instant();
+    if (!now.isBefore(nextReport)) {
+      nextReport = now.plus(REPORT_INTERVAL);
+      services.admission().progress(attempt, tokens);
     }
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.control;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.time.Clock;
@@ -11,6 +13,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.cactusseam.edge.Json;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.platform.AppendOnlyLog;
 import org.cactusseam.edge.platform.LogPage;
 import org.cactusseam.edge.settings.Settings;
@@ -23,7 +26,6 @@
 import org.cactusseam.model.claim.StoredAnswer;
 import org.cactusseam.model.control.Member;
 import org.cactusseam.model.message.PeerMessage;
-import org.jboss.logging.Logger;
 
 /**
  * Runs the claims of this daemon against the log and its peers. State lives on the control thread.
@@ -43,7 +45,7 @@
     boolean send(ClaimId claim, PeerMessage message);
   }
 
-  private static final Logger LOG = Logger.getLogger(ClaimDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(ClaimDesk.class);
   private static final long TICK_MILLIS = 10;
 
   private final Vertx vertx;
@@ -98,8 +100,7 @@
     for (LogPage.LogEntry entry : page.records()) {
       ClaimBatch batch =
           Json.read(entry.value(), ClaimBatch.class)
-              .onFailure(
-                  cause -> LOG.errorf("event=claim_unreadable offset=%d", (Object) entry.offset()))
+              .onFailure(cause -> LOG.error("claim_unreadable", field("offset", entry.offset())))
               .getOrElse(new ClaimBatch(List.of()));
       batches.add(new ClaimCoordinator.OffsetBatch(entry.offset(), batch));
     }
@@ -218,7 +219,7 @@
     if (answer != null) {
       answer.accept(outcome);
     } else if (outcome instanceof ClaimOutcome.Denied denied) {
-      LOG.debugf("event=claim_lapsed attempt=%s reason=%s", id, denied.refusal().code());
+      LOG.debug("claim_lapsed", field("attempt", id), field("reason", denied.refusal().code()));
     }
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.control;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -12,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.PeerNetwork;
 import org.cactusseam.edge.platform.LogException;
 import org.cactusseam.logic.control.InForceEvent;
@@ -33,12 +36,11 @@
 import org.cactusseam.model.control.OrderRecord;
 import org.cactusseam.model.message.PeerMessage;
 import org.cactusseam.model.message.RequestSummary;
-import org.jboss.logging.Logger;
 
 /** Carries out operators' commands. Confined to the control thread. */
 final class CommandDesk {
 
-  private static final Logger LOG = Logger.getLogger(CommandDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(CommandDesk.class);
   private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration RESTRICTION_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration RECORD_TIMEOUT = InForceTracker.ANSWER_AFTER;
@@ -237,9 +239,11 @@
   }
 
   private Future<CommandResult> record(OrderRecord.Issued order) {
-    LOG.infof(
-        "event=command_received command=%s server=%s operator=%s",
-        order.commandId(), order.server(), order.operator());
+    LOG.info(
+        "command_received",
+        field("command", order.commandId()),
+        field("server", order.server()),
+        field("operator", order.operator()));
     return log.append(order)
         .transform(
             appended ->
@@ -258,9 +262,11 @@
   }
 
   private Future<CommandResult> record(ControlRecord.Change change) {
-    LOG.infof(
-        "event=command_received command=%s object=%s operator=%s",
-        change.commandId(), change.key(), change.operator());
+    LOG.info(
+        "command_received",
+        field("command", change.commandId()),
+        field("object", change.key()),
+        field("operator", change.operator()));
     Promise<CommandResult> promise = Promise.promise();
     log.append(change)
         .onSuccess(offset -> await(change.commandId()).onComplete(promise::handle))
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlLog.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlLog.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.control;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Clock;
@@ -12,6 +14,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.cactusseam.edge.Json;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.platform.AppendOnlyLog;
 import org.cactusseam.edge.platform.LogPage;
 import org.cactusseam.edge.settings.Settings;
@@ -21,7 +24,6 @@
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.StoredRecord;
-import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -56,7 +58,7 @@
     void failed();
   }
 
-  private static final Logger LOG = Logger.getLogger(ControlLog.class);
+  private static final StructuredLog LOG = StructuredLog.of(ControlLog.class);
 
   /** Enough for a peer that missed a minute of changes at the target scale. */
   private static final int RECENT_RECORDS = 512;
@@ -113,7 +115,8 @@
   public void read(Instant sentAt, LogPage page) {
     boolean gap = loaded && loader == null && !state.canContinueFrom(page.earliest());
     if (gap) {
-      LOG.warnf("event=control_log_gap next=%d earliest=%d", state.nextOffset(), page.earliest());
+      LOG.warn(
+          "control_log_gap", field("next", state.nextOffset()), field("earliest", page.earliest()));
       loadOffset = 0;
     }
     if (gap || (!loaded && loader == null)) {
@@ -140,9 +143,10 @@
     return Json.read(entry.value(), ControlRecord.class)
         .onFailure(
             cause ->
-                LOG.errorf(
-                    "event=control_record_unreadable offset=%d cause=\"%s\"",
-                    (Object) entry.offset(), cause.getMessage()))
+                LOG.error(
+                    "control_record_unreadable",
+                    field("offset", entry.offset()),
+                    field("cause", cause.getMessage())))
         .toJavaOptional()
         .map(record -> new StoredRecord(entry.offset(), entry.appendedAtMillis(), record));
   }
@@ -167,7 +171,7 @@
         .peekLeft(
             failure -> {
               loadOffset = 0;
-              LOG.warnf("event=control_log_incomplete reason=%s", failure);
+              LOG.warn("control_log_incomplete", field("reason", failure));
             });
   }
 
@@ -177,7 +181,7 @@
     }
     state = newer;
     loaded = true;
-    LOG.infof("event=control_state_loaded next_offset=%d", state.nextOffset());
+    LOG.info("control_state_loaded", field("next_offset", state.nextOffset()));
     listener.loaded();
   }
 
@@ -230,7 +234,7 @@
     if (state.load(parts)) {
       loaded = true;
       loader = null;
-      LOG.infof("event=control_state_from_peer next_offset=%d", state.nextOffset());
+      LOG.info("control_state_from_peer", field("next_offset", state.nextOffset()));
       listener.loaded();
     }
   }
@@ -264,7 +268,7 @@
             && !recent.isEmpty()
             && schedule.isDue(nowMillis, recent.peekFirst().appendedAtMillis(), rank);
     if (due) {
-      LOG.infof("event=control_snapshot_appended basis=%d", state.nextOffset());
+      LOG.info("control_snapshot_appended", field("basis", state.nextOffset()));
       snapshot().forEach(this::append);
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.control;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -14,6 +16,7 @@
 import java.util.stream.Collectors;
 import org.cactusseam.edge.backend.LoadPoller;
 import org.cactusseam.edge.backend.OrderClient;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.PeerListener;
 import org.cactusseam.edge.peer.PeerNetwork;
 import org.cactusseam.edge.platform.AppendOnlyLog;
@@ -41,12 +44,11 @@
 import org.cactusseam.model.control.RunId;
 import org.cactusseam.model.message.PeerMessage;
 import org.cactusseam.model.message.RequestSummary;
-import org.jboss.logging.Logger;
 
 /** Control state of this daemon with its input and output, all on the control thread. */
 public final class ControlPlane implements PeerListener {
 
-  private static final Logger LOG = Logger.getLogger(ControlPlane.class);
+  private static final StructuredLog LOG = StructuredLog.of(ControlPlane.class);
   private static final long DECISION_INTERVAL_MILLIS = 50;
   private static final long INVENTORY_INTERVAL_MILLIS = 1_000;
   private static final long LOAD_INTERVAL_MILLIS = 250;
@@ -304,9 +306,9 @@
           send(handover.handover().to().node(), new PeerMessage.HandOver(handover.handover()));
       case MembershipAction.AcknowledgeHandover accepted -> accept(accepted.handover());
       case MembershipAction.BecomeOwner owner ->
-          LOG.infof("event=shard_owned shard=%s epoch=%d", owner.shard(), owner.epoch());
+          LOG.info("shard_owned", field("shard", owner.shard()), field("epoch", owner.epoch()));
       case MembershipAction.StopOwning owner ->
-          LOG.infof("event=shard_released shard=%s", owner.shard());
+          LOG.info("shard_released", field("shard", owner.shard()));
     }
   }
 
@@ -429,7 +431,7 @@
       case PeerMessage.StandIn standIn -> ownership.handedOver(standIn.handover());
       case PeerMessage.Restriction restriction -> restrict(from.node(), restriction.order());
       case PeerMessage.RestrictionAnswer answer -> commands.restrictionAnswered(answer);
-      default -> LOG.warnf("event=unexpected_message peer=%s", from.node());
+      default -> LOG.warn("unexpected_message", field("peer", from.node()));
     }
     performActions();
   }
@@ -463,7 +465,7 @@
 
   @Override
   public void connected(Member peer) {
-    LOG.infof("event=peer_connected peer=%s boot=%s", peer.node(), peer.boot());
+    LOG.info("peer_connected", field("peer", peer.node()), field("boot", peer.boot()));
     coordinator.bootSeen(RunId.of(peer));
     String before = boots.put(peer.node(), peer.boot());
     if (before != null && !Boots.areOfOneProcess(before, peer.boot())) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LogTailer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LogTailer.java
@@ -1,13 +1,15 @@
 package org.cactusseam.edge.control;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.Vertx;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.LongSupplier;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.platform.AppendOnlyLog;
 import org.cactusseam.edge.platform.LogPage;
-import org.jboss.logging.Logger;
 
 /** Reads one stream of the log for ever, by long polls. */
 final class LogTailer {
@@ -27,7 +29,7 @@
     void failed();
   }
 
-  private static final Logger LOG = Logger.getLogger(LogTailer.class);
+  private static final StructuredLog LOG = StructuredLog.of(LogTailer.class);
   private static final int PAGE_LIMIT = 500;
 
   /** Shorter than the lease, so that an idle log still proves freshness in time. */
@@ -80,7 +82,7 @@
   private void succeeded(Instant sentAt, LogPage page) {
     if (failing) {
       failing = false;
-      LOG.infof("event=log_read_again stream=%s", stream);
+      LOG.info("log_read_again", field("stream", stream));
     }
     listener.read(sentAt, page);
     poll();
@@ -89,7 +91,7 @@
   private void failed(Throwable cause) {
     if (!failing) {
       failing = true;
-      LOG.warnf("event=log_unreadable stream=%s cause=\"%s\"", stream, cause.getMessage());
+      LOG.warn("log_unreadable", field("stream", stream), field("cause", cause.getMessage()));
     }
     listener.failed();
     vertx.setTimer(RETRY_MILLIS, timer -> poll());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.control;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import java.time.Clock;
 import java.time.Instant;
 import java.util.HashMap;
@@ -9,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.cactusseam.edge.backend.OrderClient;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.control.ControlState;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.orders.OrderAction;
@@ -21,7 +24,6 @@
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.control.Member;
 import org.cactusseam.model.control.OrderRecord;
-import org.jboss.logging.Logger;
 
 /**
  * Carries out the orders to the engines of the shards that this daemon owns. Confined to the
@@ -29,7 +31,7 @@
  */
 final class OrderDesk {
 
-  private static final Logger LOG = Logger.getLogger(OrderDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(OrderDesk.class);
 
   private final Clock clock;
   private final OrderClient client;
@@ -159,17 +161,22 @@
   }
 
   private void answered(OrderAction.Send send, OrderAnswer answer) {
-    LOG.infof(
-        "event=order_answered order=%d server=%s answer=%s", send.order(), send.server(), answer);
+    LOG.info(
+        "order_answered",
+        field("order", send.order()),
+        field("server", send.server()),
+        field("answer", answer));
     executor.answered(send.order(), answer);
     perform();
   }
 
   /** The executor ignores this for an order that was not written. */
   private void lost(OrderAction.Send send, Throwable cause) {
-    LOG.warnf(
-        "event=order_answer_lost order=%d server=%s cause=\"%s\"",
-        send.order(), send.server(), cause.getMessage());
+    LOG.warn(
+        "order_answer_lost",
+        field("order", send.order()),
+        field("server", send.server()),
+        field("cause", cause.getMessage()));
     executor.answerLost(send.order());
     perform();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/QuarantineDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/QuarantineDesk.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.control;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import java.time.Clock;
 import java.time.Instant;
 import java.util.Collection;
@@ -10,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.quarantine.Placement;
 import org.cactusseam.logic.quarantine.QuarantineTable;
 import org.cactusseam.model.BackendServerName;
@@ -20,7 +23,6 @@
 import org.cactusseam.model.message.PeerMessage;
 import org.cactusseam.model.quarantine.CrashId;
 import org.cactusseam.model.quarantine.Suspicions;
-import org.jboss.logging.Logger;
 
 /**
  * Owns the quarantine table: detects crashes of the servers of owned shards, exchanges suspicions
@@ -30,7 +32,7 @@
  */
 final class QuarantineDesk {
 
-  private static final Logger LOG = Logger.getLogger(QuarantineDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(QuarantineDesk.class);
 
   private final Clock clock;
   private final QuarantineTable table;
@@ -134,9 +136,11 @@
   private void crashed(BackendServerName server, ServerRuns.Crash crash) {
     CrashId id = table.crashed(server, crash.incarnation(), crash.attempts().values());
     crash.attempts().keySet().forEach(attempt -> crashes.put(attempt, id));
-    LOG.warnf(
-        "event=server_crashed server=%s incarnation=%s suspects=%d",
-        server, crash.incarnation(), crash.attempts().size());
+    LOG.warn(
+        "server_crashed",
+        field("server", server),
+        field("incarnation", crash.incarnation()),
+        field("suspects", crash.attempts().size()));
     toAllPeers.accept(new PeerMessage.SuspicionsNews(table.suspicions()));
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/InboundConnection.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/InboundConnection.java
@@ -1,13 +1,15 @@
 package org.cactusseam.edge.peer;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.net.NetSocket;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.model.message.PeerMessage;
-import org.jboss.logging.Logger;
 
 /** Connection that a peer dialled: carries messages from the peer to this daemon. */
 final class InboundConnection {
 
-  private static final Logger LOG = Logger.getLogger(InboundConnection.class);
+  private static final StructuredLog LOG = StructuredLog.of(InboundConnection.class);
 
   private final NetSocket socket;
   private final PeerHandshake handshake;
@@ -42,8 +44,10 @@
   }
 
   private void reject(String reason) {
-    LOG.warnf(
-        "event=peer_connection_rejected remote=%s reason=\"%s\"", socket.remoteAddress(), reason);
+    LOG.warn(
+        "peer_connection_rejected",
+        field("remote", socket.remoteAddress()),
+        field("reason", reason));
     socket.close();
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerLink.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerLink.java
@@ -1,19 +1,21 @@
 package org.cactusseam.edge.peer;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.net.ConnectException;
 import java.time.Instant;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.message.PeerMessage;
-import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /** Connection that this daemon dials and dials again: carries messages to one peer. */
 final class PeerLink {
 
-  private static final Logger LOG = Logger.getLogger(PeerLink.class);
+  private static final StructuredLog LOG = StructuredLog.of(PeerLink.class);
   private static final long RETRY_MILLIS = 250;
 
   /** A peer that does not read for as long as this many bytes loses the connection. */
@@ -71,7 +73,7 @@
       return false;
     }
     if (socket.writeQueueFull()) {
-      LOG.warnf("event=peer_not_reading peer=%s", node);
+      LOG.warn("peer_not_reading", field("peer", node));
       socket.close();
       return false;
     }
