Keep only settings that have an effect

Cause: read-through: the settings of headroom, window and buffered events were read and documented but used nowhere, the preset hung on the name of the deployment, and a retention below 20 minutes ended the daemon at start instead of being reported as a fault. Change: `admission.preset` replaces the unused keys, `limits.events-per-stream` bounds the buffer of a stream, and the range of `platform.retention` starts at 20 minutes.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -48,6 +48,10 @@
 
   private static final int IDLE_TIMEOUT_SECONDS = 600;
   private static final int STATUS_PAYLOAD_TOO_LARGE = 413;
+
+  /** Size of a token event with its identity, to count a buffer in events. */
+  private static final int USUAL_EVENT_BYTES = 256;
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_NO_CONTENT = 204;
   private static final int STATUS_UNAVAILABLE = 503;
@@ -196,6 +200,7 @@
     HttpServerResponse response = context.response();
     response.putHeader(Headers.REQUEST, info.id());
     response.exceptionHandler(cause -> {});
+    boundBuffer(response);
     Answer answer =
         Boolean.TRUE.equals(body.getValue("stream"))
             ? new StreamedAnswer(response, services.clusterKey())
@@ -216,6 +221,11 @@
     request.start();
   }
 
+  private void boundBuffer(HttpServerResponse response) {
+    response.setWriteQueueMaxSize(
+        services.settings().limits().eventsPerStream() * USUAL_EVENT_BYTES);
+  }
+
   private SlowReaderGuard slowReader(HttpServerRequest request) {
     return new SlowReaderGuard(
         vertx,
@@ -250,6 +260,7 @@
                       slowReader(context.request()));
               context.response().putHeader(Headers.REQUEST, info.id());
               context.response().exceptionHandler(cause -> {});
+              boundBuffer(context.response());
               context.response().closeHandler(closed -> stream.callerLeft());
               stream.start();
             });
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -7,9 +7,7 @@
 import io.vertx.core.Vertx;
 import java.time.Clock;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -27,7 +25,6 @@
 import org.cactusseam.logic.control.Membership;
 import org.cactusseam.logic.control.ProvisionalRestrictions;
 import org.cactusseam.logic.control.Verdict;
-import org.cactusseam.logic.membership.Boots;
 import org.cactusseam.logic.membership.MembershipAction;
 import org.cactusseam.logic.membership.MembershipCoordinator;
 import org.cactusseam.logic.membership.MembershipSettings;
@@ -77,7 +74,7 @@
   private final ClaimDesk claims;
   private final StoreTokens tokens;
   private final OrderDesk orders;
-  private final Map<NodeName, String> boots = new HashMap<>();
+  private final PeerRuns runs = new PeerRuns();
   private Member self;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean ready;
@@ -437,8 +434,7 @@
   }
 
   private boolean sendToClaimant(ClaimId claim, PeerMessage message) {
-    String current = boots.get(claim.node());
-    if (current == null || !Boots.areOfOneProcess(claim.boot(), current)) {
+    if (!runs.isRunning(claim.node(), claim.boot())) {
       return false;
     }
     return network.send(claim.node(), message);
@@ -467,20 +463,15 @@
   public void connected(Member peer) {
     LOG.info("peer_connected", field("peer", peer.node()), field("boot", peer.boot()));
     coordinator.bootSeen(RunId.of(peer));
-    String before = boots.put(peer.node(), peer.boot());
-    if (before != null && !Boots.areOfOneProcess(before, peer.boot())) {
-      owned.requesterLost(peer.node(), Boots.ofProcess(before));
-    }
+    runs.connected(peer.node(), peer.boot())
+        .ifPresent(ended -> owned.requesterLost(peer.node(), ended));
     performActions();
   }
 
   @Override
   public void refused(NodeName peer, Instant attemptedAt) {
     coordinator.connectionRefused(peer, attemptedAt);
-    String ended = boots.remove(peer);
-    if (ended != null) {
-      owned.requesterLost(peer, Boots.ofProcess(ended));
-    }
+    runs.refused(peer).ifPresent(ended -> owned.requesterLost(peer, ended));
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CoreSettings.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CoreSettings.java
@@ -33,14 +33,15 @@
   }
 
   /**
-   * Returns the preset of the deployment.
+   * Returns the values of admission.
    *
    * @param settings settings of the daemon
    * @return settings of admission
    */
   static AdmissionSettings admission(Settings settings) {
-    return "flagline".equals(settings.deployment())
-        ? AdmissionSettings.flagline()
-        : AdmissionSettings.zopfwerk();
+    return switch (settings.admission().preset()) {
+      case ZOPFWERK -> AdmissionSettings.zopfwerk();
+      case FLAGLINE -> AdmissionSettings.flagline();
+    };
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/Settings.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/Settings.java
@@ -151,20 +151,19 @@
   /**
    * Settings of admission shards.
    *
-   * @param headroomPercent part of engine memory that expected use leaves free
-   * @param window growth of the window of a backend server
+   * @param preset measured set of values
    */
-  public record Admission(int headroomPercent, Window window) {}
+  public record Admission(AdmissionPreset preset) {}
 
   /**
-   * Growth of the window of a backend server after warm-up.
-   *
-   * @param step requests by which the limit grows at once
-   * @param stepInterval shortest time between two steps
-   * @param silence time without an answer from a backend server with open streams after which it
-   *     counts as cold
+   * Measured sets of values for admission, named after the deployments that they were measured for.
    */
-  public record Window(int step, Duration stepInterval, Duration silence) {}
+  public enum AdmissionPreset {
+    /** Weighs preemptions and stall time most. */
+    ZOPFWERK,
+    /** Weighs tail latency between tokens and service during changes of failure domains most. */
+    FLAGLINE
+  }
 
   /**
    * Settings of the log output.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsKeys.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsKeys.java
@@ -54,7 +54,7 @@
       SettingKey.withDefault("platform.claims-stream", ValueType.streamName(), "claims");
   static final SettingKey<Duration> RETENTION =
       SettingKey.withDefault(
-          "platform.retention", duration(Duration.ofSeconds(10), Duration.ofDays(365)), "1d");
+          "platform.retention", duration(Duration.ofMinutes(20), Duration.ofDays(365)), "1d");
   static final SettingKey<URI> VM_LIST_URL =
       SettingKey.required("platform.vm-list-url", ValueType.httpUrl());
   static final SettingKey<Duration> VM_LIST_LAG =
@@ -82,20 +82,9 @@
       SettingKey.withDefault(
           "shutdown.drain", duration(Duration.ZERO, Duration.ofDays(1)), "10min");
 
-  static final SettingKey<Integer> HEADROOM_PERCENT =
-      SettingKey.withDefault("admission.headroom-percent", integer(0, 90), "10");
-  static final SettingKey<Integer> WINDOW_STEP =
-      SettingKey.withDefault("admission.window.step", integer(1, 1_000), "1");
-  static final SettingKey<Duration> WINDOW_STEP_INTERVAL =
+  static final SettingKey<Settings.AdmissionPreset> ADMISSION_PRESET =
       SettingKey.withDefault(
-          "admission.window.step-interval",
-          duration(Duration.ZERO, Duration.ofMinutes(10)),
-          "200ms");
-  static final SettingKey<Duration> WINDOW_SILENCE =
-      SettingKey.withDefault(
-          "admission.window.silence",
-          duration(Duration.ofMillis(50), Duration.ofMinutes(1)),
-          "500ms");
+          "admission.preset", ValueType.choice(Settings.AdmissionPreset.class), "zopfwerk");
 
   static final SettingKey<Settings.LogLevel> LOG_LEVEL =
       SettingKey.withDefault("logging.level", ValueType.choice(Settings.LogLevel.class), "info");
@@ -133,10 +122,7 @@
           SLOW_READER_TIMEOUT,
           GRACE,
           DRAIN,
-          HEADROOM_PERCENT,
-          WINDOW_STEP,
-          WINDOW_STEP_INTERVAL,
-          WINDOW_SILENCE,
+          ADMISSION_PRESET,
           LOG_LEVEL,
           LOG_FORMAT);
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
@@ -243,12 +243,7 @@
     }
 
     private Settings.Admission admission() {
-      return new Settings.Admission(
-          get(SettingsKeys.HEADROOM_PERCENT),
-          new Settings.Window(
-              get(SettingsKeys.WINDOW_STEP),
-              get(SettingsKeys.WINDOW_STEP_INTERVAL),
-              get(SettingsKeys.WINDOW_SILENCE)));
+      return new Settings.Admission(get(SettingsKeys.ADMISSION_PRESET));
     }
   }
 }
