Go on after a control record that nobody can read

Cause: found while reading the code: a record that could not be parsed left a gap in the offsets, and every later record was skipped for ever, at every node; one with missing parts raised an exception that ended the reading of the log. Change: an unreadable record takes its offset without any effect; records and messages with missing parts are rejected as unreadable; a fault in the listener no longer ends the tailer.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
@@ -111,6 +111,7 @@
       case ControlRecord.Leave leave -> applyLeave(offset, leave);
       case ControlRecord.Expel expel -> applyExpel(offset, expel);
       case ControlRecord.Snapshot snapshot -> Verdict.ACCEPTED;
+      case ControlRecord.Unreadable unreadable -> Verdict.INVALID;
       case OrderRecord order -> applyOrder(offset, order);
     };
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/ControlRecord.java
@@ -17,6 +17,7 @@
   @JsonSubTypes.Type(value = ControlRecord.Leave.class, name = "leave"),
   @JsonSubTypes.Type(value = ControlRecord.Expel.class, name = "expel"),
   @JsonSubTypes.Type(value = ControlRecord.Snapshot.class, name = "snapshot"),
+  @JsonSubTypes.Type(value = ControlRecord.Unreadable.class, name = "unreadable"),
   @JsonSubTypes.Type(value = OrderRecord.class)
 })
 public sealed interface ControlRecord
@@ -26,6 +27,7 @@
         ControlRecord.Leave,
         ControlRecord.Expel,
         ControlRecord.Snapshot,
+        ControlRecord.Unreadable,
         OrderRecord {
 
   /** Revision of an object that does not exist. */
@@ -103,4 +105,10 @@
       entries = List.copyOf(entries);
     }
   }
+
+  /**
+   * Stands for a record that no node can read. It has no effect, but it takes its offset, so that
+   * the records after it are applied.
+   */
+  record Unreadable() implements ControlRecord {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/Json.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/Json.java
@@ -15,6 +15,8 @@
       JsonMapper.builder()
           .addModule(new Jdk8Module())
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          // A record with a missing part would otherwise be read with null inside.
+          .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
           .build();
 
   private Json() {}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlLog.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlLog.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -125,10 +124,7 @@
     if (gap) {
       return;
     }
-    List<StoredRecord> records = new ArrayList<>();
-    for (LogPage.LogEntry entry : page.records()) {
-      parse(entry).ifPresent(records::add);
-    }
+    List<StoredRecord> records = page.records().stream().map(ControlLog::parse).toList();
     if (loader != null) {
       load(loader, records, page);
     } else {
@@ -139,16 +135,17 @@
     }
   }
 
-  private static Optional<StoredRecord> parse(LogPage.LogEntry entry) {
-    return Json.read(entry.value(), ControlRecord.class)
-        .onFailure(
-            cause ->
-                LOG.error(
-                    "control_record_unreadable",
-                    field("offset", entry.offset()),
-                    field("cause", cause.getMessage())))
-        .toJavaOptional()
-        .map(record -> new StoredRecord(entry.offset(), entry.appendedAtMillis(), record));
+  private static StoredRecord parse(LogPage.LogEntry entry) {
+    ControlRecord record =
+        Json.read(entry.value(), ControlRecord.class)
+            .onFailure(
+                cause ->
+                    LOG.error(
+                        "control_record_unreadable",
+                        field("offset", entry.offset()),
+                        field("cause", cause.getMessage())))
+            .getOrElse(new ControlRecord.Unreadable());
+    return new StoredRecord(entry.offset(), entry.appendedAtMillis(), record);
   }
 
   private void load(ControlLoader current, List<StoredRecord> records, LogPage page) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -269,8 +269,7 @@
     sendToPeers(status());
     List<NodeName> active = log.state().membership().active().stream().map(Member::node).toList();
     if (active.contains(self.node())) {
-      log.snapshotIfDue(
-          System.currentTimeMillis(), Ownership.rank("snapshot", self.node(), active));
+      log.snapshotIfDue(clock.millis(), Ownership.rank("snapshot", self.node(), active));
     }
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LogTailer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LogTailer.java
@@ -84,8 +84,12 @@
       failing = false;
       LOG.info("log_read_again", field("stream", stream));
     }
-    listener.read(sentAt, page);
-    poll();
+    try {
+      listener.read(sentAt, page);
+    } finally {
+      // A fault in the listener must not end the reading of the log.
+      vertx.runOnContext(ignored -> poll());
+    }
   }
 
   private void failed(Throwable cause) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonValue;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.introspect.Annotated;
 import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
@@ -34,7 +35,8 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper(new MessagePackFactory())
           .registerModule(new Jdk8Module())
-          .setAnnotationIntrospector(new RecordsAsArrays());
+          .setAnnotationIntrospector(new RecordsAsArrays())
+          .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
 
   /** Names stay plain texts; every other record becomes an array. */
   private static final class RecordsAsArrays extends JacksonAnnotationIntrospector {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,6 +57,8 @@
 import org.cactusseam.model.quarantine.Suspicions;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
  * Guards against messages that change on the way and against hostile bytes that raise exceptions.
@@ -200,6 +203,16 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"[\"ask\",[null,0,0]]", "[\"ask\",[]]", "[\"ended\",[null,null,null,0]]"})
+  void a_message_without_a_part_is_a_failure(String json) throws Exception {
+    byte[] value =
+        new ObjectMapper(new MessagePackFactory())
+            .writeValueAsBytes(new ObjectMapper().readTree(json));
+
+    assertThat(PeerCodec.decode(value).isFailure(), is(true));
+  }
+
   @Property(tries = 10_000, seed = "4711")
   void hostile_bytes_never_raise_an_exception(@ForAll byte[] value) {
     PeerCodec.decode(value);
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/ServingUnderFaultsTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/ServingUnderFaultsTest.java
@@ -253,6 +253,17 @@
     assertThat(result, containsString(expected));
   }
 
+  @ParameterizedTest(name = "record {0}")
+  @ValueSource(strings = {"garbage", "{}", "{\"type\":\"unknown\"}", "{\"type\":\"change\"}"})
+  void a_record_that_nobody_can_read_does_not_stop_later_commands(String garbage) {
+    Http.post(system.port("log"), "/streams/control/records", garbage);
+
+    system.accept("entry-1", "create class letters rank 2");
+    system.accept("entry-3", "take domain ost-wien out");
+
+    assertWhole(new ModelCall("after garbage", 5).send(system.port("entry-2")));
+  }
+
   @Test
   void one_of_two_operators_who_change_the_same_object_wins() {
     CompletableFuture<String> first =
