Give every test process a port of its own and wake up only when due

Cause: two runs of the benchmark failed at start: the daemon's settings named one port twice. The port that the system had chosen and that was closed again came back for the next process; the system tests took ports in the same way. Change: test ports come from a counter below the system's range; claims set a timer for the next thing to do, the shutdown ticks only after a signal, decisions run every 100 ms.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/ShutdownSignals.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/ShutdownSignals.java
@@ -26,6 +26,7 @@
   private final ShutdownCoordinator coordinator;
   private final CountDownLatch end = new CountDownLatch(1);
   private boolean leaveReported;
+  private boolean ticking;
 
   ShutdownSignals(EntryDaemon daemon) {
     this.daemon = daemon;
@@ -38,7 +39,6 @@
             daemon.clock());
     Signal.handle(new Signal("TERM"), signal -> received());
     Signal.handle(new Signal("INT"), signal -> received());
-    daemon.vertx().setPeriodic(TICK_MILLIS, timer -> control.run(this::tick));
   }
 
   void awaitEnd() {
@@ -53,6 +53,10 @@
     LOG.info("signal_received", field("open_requests", active.size()));
     control.run(
         () -> {
+          if (!ticking) {
+            ticking = true;
+            daemon.vertx().setPeriodic(TICK_MILLIS, timer -> control.run(this::tick));
+          }
           coordinator.signal();
           perform();
         });
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.time.Clock;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -46,9 +47,9 @@
   }
 
   private static final StructuredLog LOG = StructuredLog.of(ClaimDesk.class);
-  private static final long TICK_MILLIS = 10;
 
   private final Vertx vertx;
+  private final Clock clock;
   private final ControlThread thread;
   private final AppendOnlyLog log;
   private final String stream;
@@ -56,6 +57,7 @@
   private final ClaimCoordinator coordinator;
   private final LogTailer tailer;
   private final Map<ClaimId, Consumer<ClaimOutcome>> waiting = new HashMap<>();
+  private boolean timerSet;
 
   ClaimDesk(
       Vertx vertx,
@@ -66,6 +68,7 @@
       Member self,
       Peers peers) {
     this.vertx = vertx;
+    this.clock = clock;
     this.thread = thread;
     this.log = log;
     this.stream = platform.claimsStream();
@@ -78,12 +81,6 @@
 
   void start() {
     tailer.start();
-    vertx.setPeriodic(
-        TICK_MILLIS,
-        timer -> {
-          coordinator.tick();
-          perform();
-        });
   }
 
   void stop() {
@@ -192,6 +189,24 @@
         case ClaimAction.Ask ask -> ask(ask);
       }
     }
+    schedule();
+  }
+
+  /** One timer for the next thing to do: a daemon without claims must not wake up for them. */
+  private void schedule() {
+    Optional<Instant> next = coordinator.nextTick();
+    if (next.isEmpty() || timerSet) {
+      return;
+    }
+    timerSet = true;
+    long delay = Duration.between(clock.instant(), next.get()).toMillis();
+    vertx.setTimer(
+        Math.max(1, delay),
+        timer -> {
+          timerSet = false;
+          coordinator.tick();
+          perform();
+        });
   }
 
   private void append(ClaimAction.Append append) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -46,7 +46,7 @@
 public final class ControlPlane implements PeerListener {
 
   private static final StructuredLog LOG = StructuredLog.of(ControlPlane.class);
-  private static final long DECISION_INTERVAL_MILLIS = 50;
+  private static final long DECISION_INTERVAL_MILLIS = 100;
   private static final long INVENTORY_INTERVAL_MILLIS = 1_000;
   private static final long LOAD_INTERVAL_MILLIS = 250;
   private static final long LIST_INTERVAL_MILLIS = 1_000;
--- a/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
@@ -3,7 +3,6 @@
 import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -16,6 +15,7 @@
 import java.util.List;
 import java.util.UUID;
 import org.cactusseam.standin.Json;
+import org.cactusseam.system.FreePorts;
 
 /** One entry daemon, its platform and several engines, each a process of its own. */
 final class BenchmarkDeployment implements AutoCloseable {
@@ -30,8 +30,8 @@
   private final List<Integer> enginePorts = new ArrayList<>();
   private final Path folder;
   private final Path standInJar;
-  private final int callerPort = freePort();
-  private final int operatorPort = freePort();
+  private final int callerPort = FreePorts.next();
+  private final int operatorPort = FreePorts.next();
   private final BenchmarkProcess daemon;
 
   BenchmarkDeployment(
@@ -49,7 +49,7 @@
     for (int number = 0; number < engines; number++) {
       enginePorts.add(startEngine(number, streamsPerEngine, tokenIntervalMillis));
     }
-    int peer = freePort();
+    int peer = FreePorts.next();
     writeFiles(log, list, peer);
     awaitStatus(list, "/vms");
     exchange(
@@ -69,20 +69,12 @@
     declare(streamsPerEngine);
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   private static String sha256(String text) {
     return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
   }
 
   private int startStandIn(String name, String... arguments) {
-    int port = freePort();
+    int port = FreePorts.next();
     List<String> all = new ArrayList<>(List.of(arguments));
     all.addAll(List.of("--port", Integer.toString(port)));
     List<String> options = List.of("-Xmx192m", "-XX:+UseSerialGC", "-XX:ActiveProcessorCount=1");
@@ -123,10 +115,6 @@
         platform:
           log-url: http://127.0.0.1:%d
           vm-list-url: http://127.0.0.1:%d
-        admission:
-          window:
-            step: 1000
-            step-interval: 0ms
         shutdown:
           grace: 0ms
         """
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
@@ -3,7 +3,6 @@
 import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -32,8 +31,8 @@
   private static final Duration START = Duration.ofSeconds(40);
 
   final Path folder;
-  final int logPort = freePort();
-  final int listPort = freePort();
+  final int logPort = FreePorts.next();
+  final int listPort = FreePorts.next();
   final Map<String, ChildProcess> processes = new LinkedHashMap<>();
   final Map<String, Integer> ports = new LinkedHashMap<>();
   final Map<String, Integer> adminPorts = new LinkedHashMap<>();
@@ -54,20 +53,12 @@
     startStandIn("vm-list", listPort, List.of("vm-list"));
   }
 
-  static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   private static String sha256(String text) {
     return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
   }
 
   private void startStandIn(String name, int port, List<String> arguments) {
-    int admin = freePort();
+    int admin = FreePorts.next();
     List<String> all = new ArrayList<>(arguments);
     all.addAll(List.of("--port", Integer.toString(port)));
     all.addAll(List.of("--admin-port", Integer.toString(admin)));
@@ -86,13 +77,13 @@
     List<String> arguments =
         new ArrayList<>(List.of("engine", "--output-median", "1000000", "--output-spread", "0"));
     arguments.addAll(List.of(options));
-    startStandIn(name, freePort(), arguments);
+    startStandIn(name, FreePorts.next(), arguments);
   }
 
   void plainService(String name, String... options) {
     List<String> arguments = new ArrayList<>(List.of("plain-service"));
     arguments.addAll(List.of(options));
-    startStandIn(name, freePort(), arguments);
+    startStandIn(name, FreePorts.next(), arguments);
   }
 
   /** Starts an entry daemon that reaches the log only through a relay, which the test can cut. */
@@ -108,9 +99,9 @@
   }
 
   private void entry(String name, String domain, String region, int logAddress) {
-    int caller = freePort();
-    int operator = freePort();
-    int peer = freePort();
+    int caller = FreePorts.next();
+    int operator = FreePorts.next();
+    int peer = FreePorts.next();
     String yaml =
         """
         deployment: zopfwerk
