--- a/cactusseam-core/src/test/java/org/cactusseam/logic/control/InForceTrackerTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/control/InForceTrackerTest.java
@@ -9,11 +9,8 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -26,6 +23,7 @@
 import org.cactusseam.model.control.ExpelReason;
 import org.cactusseam.model.control.PeerStatus;
 import org.cactusseam.model.control.RunId;
+import org.cactusseam.testing.PausedClock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -37,24 +35,7 @@
 
   private static final FailureDomain DOMAIN = domain("east-1", "east");
 
-  private Instant now = Instant.EPOCH;
-  private final Clock clock =
-      new Clock() {
-        @Override
-        public Instant instant() {
-          return now;
-        }
-
-        @Override
-        public ZoneId getZone() {
-          return ZoneOffset.UTC;
-        }
-
-        @Override
-        public Clock withZone(ZoneId zone) {
-          return this;
-        }
-      };
+  private final PausedClock clock = new PausedClock(Instant.EPOCH);
   private final ControlState state = new ControlState();
   private final InForceTracker tracker = new InForceTracker(clock, Duration.ofSeconds(1));
 
@@ -114,7 +95,7 @@
 
   private void perform(String step) {
     if (step.startsWith("+")) {
-      now = now.plusMillis(Long.parseLong(step.substring(1)));
+      clock.advance(Duration.ofMillis(Long.parseLong(step.substring(1))));
       tracker.tick();
     } else if (step.startsWith("second")) {
       apply(join("n2", "b1", "east"));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -232,8 +232,10 @@
               .toList();
       lost.forEach(known::remove);
       lost.forEach(id -> quarantine.ended(id, AttemptEnd.CANCELLED));
-      rounds.keySet().removeAll(lost);
     }
+    // Also attempts that waited and will get no decision.
+    rounds.keySet().removeIf(id -> id.node().equals(node) && id.boot().equals(boot));
+    fingerprints.keySet().removeIf(id -> id.node().equals(node) && id.boot().equals(boot));
     shards.values().forEach(shard -> shard.requesterLost(node, boot));
     deliver();
   }
