Release streams whose caller left while the engine hung

Cause: a connection that closed before its stream was attached reports no later close, so the stream ran to its end and was never removed. Change: the stream table treats a closed connection as lost at once, which starts the resume window. Result: the new test fails without the change (the stream still runs after 10 s) and passes with it; ./check passes, 34 + 118 tests.

--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/StreamTable.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/StreamTable.java
@@ -53,13 +53,16 @@
     removalTimers.clear();
   }
 
-  /** Attaches a connection and watches it. */
+  /** Attaches a connection and watches it. One that is closed already reports no later close. */
   void attach(TokenStream stream, HttpServerResponse response, boolean events, int from) {
     cancelRemoval(stream);
     response.closeHandler(closed -> detach(stream, response));
     response.exceptionHandler(failed -> detach(stream, response));
     response.drainHandler(drained -> advance(stream));
     stream.attach(response, events, from);
+    if (response.closed()) {
+      detach(stream, response);
+    }
   }
 
   /** Sends what is ready. */
--- a/cactusseam-standins/src/test/java/org/cactusseam/standin/StandInFixture.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/standin/StandInFixture.java
@@ -7,11 +7,14 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
@@ -118,10 +121,21 @@
     }
   }
 
+  /** Sends a request and closes the connection without waiting for an answer. */
+  public void sendAndLeave(String path, String body, String header) {
+    String head = "POST %s HTTP/1.1\r\nHost: localhost\r\n%s\r\nContent-Length: %d\r\n\r\n";
+    try (Socket socket = new Socket("127.0.0.1", standIn.port())) {
+      String request = head.formatted(path, header, body.length()) + body;
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   /** Tells whether the operating system refuses a connection to the service. */
   public boolean refuses() {
-    try (java.net.Socket socket = new java.net.Socket()) {
-      socket.connect(new java.net.InetSocketAddress("127.0.0.1", standIn.port()));
+    try (Socket socket = new Socket()) {
+      socket.connect(new InetSocketAddress("127.0.0.1", standIn.port()));
       return false;
     } catch (ConnectException e) {
       return true;
--- a/cactusseam-standins/src/test/java/org/cactusseam/standin/engine/EngineFaultTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/standin/engine/EngineFaultTest.java
@@ -106,6 +106,21 @@
     }
   }
 
+  @Test
+  void a_caller_that_left_while_the_engine_hung_does_not_keep_its_stream() {
+    try (StandInFixture fixture = start("{\"resume_window_ms\":50}")) {
+      fixture.fault("{\"hang\":true}");
+      fixture.sendAndLeave("/v1/completions", body(PROMPT), "Cactusseam-Test-Length: " + LONG);
+      // These answers come after the engine has seen the request and the end of its connection.
+      for (int i = 0; i < 20; i++) {
+        fixture.get("/faults");
+      }
+      fixture.fault("{\"hang\":false}");
+      assertThat(fixture.get("/violations").json().get("received").asInt(), is(1));
+      StandInFixture.await(() -> loadNumber(fixture, "running") == 0);
+    }
+  }
+
   private static int readMore(EventReader reader, int count) {
     try {
       return reader.read(count).events().size();
