--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/Json.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vavr.control.Try;
@@ -15,10 +16,12 @@
       JsonMapper.builder()
           .addModule(new Jdk8Module())
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-          // A record with a missing part would otherwise be read with null inside.
-          .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
           .build();
 
+  /** A log record with a missing part would otherwise be read with null inside. */
+  private static final ObjectReader RECORDS =
+      MAPPER.reader().with(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
+
   private Json() {}
 
   /**
@@ -36,7 +39,7 @@
   }
 
   /**
-   * Reads a value.
+   * Reads a value. Parts that the text lacks are null, so types for answers of others check them.
    *
    * @param text JSON text from outside
    * @param type type of the value
@@ -46,4 +49,16 @@
   public static <T> Try<T> read(String text, Class<T> type) {
     return Try.of(() -> MAPPER.readValue(text, type));
   }
+
+  /**
+   * Reads a record of the log; every part has to be there.
+   *
+   * @param text JSON text from the log
+   * @param type type of the record
+   * @param <T> type of the record
+   * @return the record, or the failure
+   */
+  public static <T> Try<T> readRecord(String text, Class<T> type) {
+    return Try.of(() -> RECORDS.forType(type).readValue(text));
+  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
@@ -96,7 +96,7 @@
     List<ClaimCoordinator.OffsetBatch> batches = new ArrayList<>();
     for (LogPage.LogEntry entry : page.records()) {
       ClaimBatch batch =
-          Json.read(entry.value(), ClaimBatch.class)
+          Json.readRecord(entry.value(), ClaimBatch.class)
               .onFailure(cause -> LOG.error("claim_unreadable", field("offset", entry.offset())))
               .getOrElse(new ClaimBatch(List.of()));
       batches.add(new ClaimCoordinator.OffsetBatch(entry.offset(), batch));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlLog.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlLog.java
@@ -137,7 +137,7 @@
 
   private static StoredRecord parse(LogPage.LogEntry entry) {
     ControlRecord record =
-        Json.read(entry.value(), ControlRecord.class)
+        Json.readRecord(entry.value(), ControlRecord.class)
             .onFailure(
                 cause ->
                     LOG.error(
