Stop the benchmark's processes when its start fails

Cause: two failed starts left 10 stand-ins each: the constructor failed, so nobody could close the deployment.

--- a/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
@@ -65,8 +65,14 @@
         List.of("serve", "--settings", folder.resolve("entry-1.yaml").toString());
     daemon = BenchmarkProcess.start(folder, "entry-1", daemonOptions, daemonJar, arguments);
     processes.addFirst(daemon);
-    awaitStatus(callerPort, "/ready");
-    declare(streamsPerEngine);
+    try {
+      awaitStatus(callerPort, "/ready");
+      declare(streamsPerEngine);
+    } catch (RuntimeException e) {
+      // Nobody can close an object whose constructor failed, and its processes would run on.
+      processes.forEach(BenchmarkProcess::close);
+      throw e;
+    }
   }
 
   private static String sha256(String text) {
