Keep requests while the owner of their shard changes

A daemon that comes back takes shards over from a running one; a node that has lost a shard, or waits to take it over, refused questions, and the entry daemon passed that on to the caller. Requests that had waited in the owner's queue were refused as well. Every restart of a VM was visible to callers of healthy daemons.

Four causes, found one after the other by that test: - NO_ADMISSION ended the request. It is now no decision: the router asks the next owner, and gives up when the shard has been without owner for longer than a takeover lasts. - A new owner counted its grants over a window of 8 s that it had not yet observed and refused the queue as overload. It counts from its first grant. - The right to send a request that must not run twice ended 1 s after its claim was read, also in a node that runs. Each tick renews it up to the deadline.

A successor now waits only for the permits (1.5 s) of a run that the log has removed as certainly ended, instead of 4.5 s.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServiceRate.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServiceRate.java
@@ -1,6 +1,7 @@
 package org.cactusseam.logic.admission;
 
 import java.util.Arrays;
+import java.util.OptionalLong;
 
 /**
  * Measured speed of service: grants in the last seconds, time per token of a stream and run time of
@@ -11,12 +12,17 @@
   private static final int WINDOW_SECONDS = 8;
   private static final double SMOOTHING = 0.05;
 
+  /** A shorter time since the first grant says nothing about a rate. */
+  private static final long SHORTEST_WINDOW_MILLIS = 1_000;
+
   private final int[] grants = new int[WINDOW_SECONDS];
   private long currentSecond;
   private double millisPerToken = 30;
   private double runMillis;
+  private OptionalLong firstGrantAt = OptionalLong.empty();
 
   void granted(long now) {
+    firstGrantAt = OptionalLong.of(firstGrantAt.orElse(now));
     advance(now);
     grants[(int) (currentSecond % WINDOW_SECONDS)]++;
   }
@@ -37,7 +43,9 @@
 
   /**
    * Returns the expected wait behind other attempts. Open attempts divided by their mean run time
-   * give the rate after a quiet time, when few grants were needed.
+   * give the rate after a quiet time, when few grants were needed. A new owner counts its grants
+   * over the time since the first one; over the whole window it would refuse a queue that it took
+   * over as hopeless.
    *
    * @param ahead attempts that are served first
    * @param open attempts that run
@@ -50,7 +58,9 @@
     for (int count : grants) {
       sum += count;
     }
-    double byGrants = (double) sum / (WINDOW_SECONDS * 1_000);
+    long observed = now - firstGrantAt.orElse(now);
+    long window = Math.clamp(observed, SHORTEST_WINDOW_MILLIS, WINDOW_SECONDS * 1_000L);
+    double byGrants = (double) sum / window;
     double byRunTime = runMillis == 0 ? 0 : open / runMillis;
     double rate = Math.max(byGrants, byRunTime);
     return rate == 0 ? 0 : ahead / rate;
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/idempotency/ClaimAction.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/idempotency/ClaimAction.java
@@ -25,7 +25,7 @@
    * the request and sends it only if the answer is true.
    *
    * @param id attempt
-   * @param until end of the right
+   * @param until end of the right unless a tick renews it
    */
   record Dispatch(ClaimId id, Instant until) implements ClaimAction {}
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/idempotency/ClaimCoordinator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/idempotency/ClaimCoordinator.java
@@ -33,10 +33,11 @@
  * loses or repeats.
  *
  * <p>A paused node: its claims keep their keys while it stands still, so nobody else runs them. A
- * right to send ends {@link ClaimSettings#dispatchRight} after the claim was read and never lasts
- * longer than the deadline; the first call after the pause finds the right or the deadline over,
- * answers "not run" and releases the claim. A node that dies leaves its unreleased claims without a
- * known outcome for good. A restarted node is a new coordinator with a new boot identity.
+ * right to send ends {@link ClaimSettings#dispatchRight} after the claim was read, is renewed by
+ * each tick in time while the attempt waits for its permit, and never lasts longer than the
+ * deadline; the first call after the pause finds the right or the deadline over, answers "not run"
+ * and releases the claim. A node that dies leaves its unreleased claims without a known outcome for
+ * good. A restarted node is a new coordinator with a new boot identity.
  *
  * <p>"Not run" is said of one attempt. An earlier attempt with the same key may have run.
  *
@@ -46,19 +47,6 @@
 
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
-  private enum Phase {
-    /** The claim is queued, sent, or not read yet. */
-    CLAIMING,
-    /** Another claim holds the key, and its node was asked. */
-    ASKING,
-    /** Another claim holds the key, and its node gave it up; its release was not read yet. */
-    AWAITING_RELEASE,
-    /** The attempt holds the key and may be sent until its limit. */
-    ENTITLED,
-    /** The attempt was sent. */
-    RUNNING
-  }
-
   private enum Outcome {
     RAN,
     MAY_HAVE_RUN
@@ -67,20 +55,6 @@
   /** A log record with its offset. */
   public record OffsetBatch(long offset, ClaimBatch batch) {}
 
-  private static final class Attempt {
-    private final ClaimEntry.Claimed claim;
-    private final Instant deadline;
-    private Phase phase = Phase.CLAIMING;
-    private Instant limit;
-    private Optional<ClaimId> asked = Optional.empty();
-
-    private Attempt(ClaimEntry.Claimed claim, Instant deadline) {
-      this.claim = claim;
-      this.deadline = deadline;
-      this.limit = deadline;
-    }
-  }
-
   private final NodeName node;
   private final String boot;
   private final ClaimSettings settings;
@@ -88,7 +62,7 @@
   private final ClaimIndex index;
   private final ClaimOutbox outbox = new ClaimOutbox();
   private final AnswerCache answers;
-  private final Map<ClaimId, Attempt> attempts = new LinkedHashMap<>();
+  private final Map<ClaimId, ClaimAttempt> attempts = new LinkedHashMap<>();
   private final Multimap<ClaimKey, ClaimId> attemptsByKey = LinkedHashMultimap.create();
   private final Map<ClaimKey, Map<ClaimId, Outcome>> ended = new HashMap<>();
   private final List<ClaimAction> actions = new ArrayList<>();
@@ -141,7 +115,7 @@
       return id;
     }
     ClaimEntry.Claimed claim = new ClaimEntry.Claimed(key.orElseThrow(), id, fingerprint);
-    Attempt attempt = new Attempt(claim, deadline);
+    ClaimAttempt attempt = new ClaimAttempt(claim, deadline);
     attempts.put(id, attempt);
     attemptsByKey.put(claim.key(), id);
     decide(attempt);
@@ -204,12 +178,14 @@
   /** Notes that the log is unavailable: requests that wait for it are refused immediately. */
   public void logUnavailable() {
     logAvailable = false;
-    List<Attempt> claiming =
-        attempts.values().stream().filter(attempt -> attempt.phase == Phase.CLAIMING).toList();
+    List<ClaimAttempt> claiming =
+        attempts.values().stream()
+            .filter(attempt -> attempt.phase == ClaimAttempt.Phase.CLAIMING)
+            .toList();
     claiming.forEach(this::refuseWithoutLog);
   }
 
-  private void refuseWithoutLog(Attempt attempt) {
+  private void refuseWithoutLog(ClaimAttempt attempt) {
     refuse(attempt, ResultCode.LOG_UNAVAILABLE, "this attempt was not run", RETRY_AFTER);
   }
 
@@ -252,7 +228,7 @@
   /** Acts on the claims of a key after the log said something new about it. */
   private void reconsider(ClaimKey key) {
     for (ClaimId id : List.copyOf(attemptsByKey.get(key))) {
-      Attempt attempt = attempts.get(id);
+      ClaimAttempt attempt = attempts.get(id);
       if (attempt != null) {
         reconsider(attempt);
       }
@@ -260,7 +236,7 @@
     index.holder(key).ifPresent(this::releaseIfAbandoned);
   }
 
-  private void reconsider(Attempt attempt) {
+  private void reconsider(ClaimAttempt attempt) {
     switch (attempt.phase) {
       case CLAIMING -> {
         if (index.isLive(attempt.claim.key(), attempt.claim.id())) {
@@ -288,7 +264,7 @@
     return id.node().equals(node) && id.boot().equals(boot);
   }
 
-  private void decide(Attempt attempt) {
+  private void decide(ClaimAttempt attempt) {
     Optional<ClaimEntry.Claimed> holder = index.holder(attempt.claim.key());
     if (holder.isEmpty()) {
       claim(attempt);
@@ -299,8 +275,8 @@
     }
   }
 
-  private void claim(Attempt attempt) {
-    attempt.phase = Phase.CLAIMING;
+  private void claim(ClaimAttempt attempt) {
+    attempt.phase = ClaimAttempt.Phase.CLAIMING;
     attempt.limit = attempt.deadline;
     if (logAvailable) {
       outbox.add(attempt.claim);
@@ -309,19 +285,17 @@
     }
   }
 
-  private void entitle(Attempt attempt) {
+  private void entitle(ClaimAttempt attempt) {
     Instant now = clock.instant();
     if (!now.isBefore(attempt.deadline) || settings.isExpired(attempt.claim.key(), now)) {
       refuseLate(attempt);
       return;
     }
-    Instant end = now.plus(settings.dispatchRight());
-    attempt.limit = end.isBefore(attempt.deadline) ? end : attempt.deadline;
-    attempt.phase = Phase.ENTITLED;
+    attempt.entitle(now.plus(settings.dispatchRight()));
     actions.add(new ClaimAction.Dispatch(attempt.claim.id(), attempt.limit));
   }
 
-  private void contend(Attempt attempt, ClaimEntry.Claimed holder) {
+  private void contend(ClaimAttempt attempt, ClaimEntry.Claimed holder) {
     if (!holder.fingerprint().equals(attempt.claim.fingerprint())) {
       refuse(
           attempt,
@@ -335,7 +309,7 @@
       settle(attempt, holder.id(), answer(holder.key(), holder.id()));
       return;
     }
-    attempt.phase = Phase.ASKING;
+    attempt.phase = ClaimAttempt.Phase.ASKING;
     attempt.limit = clock.instant().plus(settings.answerTimeout());
     actions.add(
         new ClaimAction.Ask(attempt.claim.id(), holder.id().node(), holder.key(), holder.id()));
@@ -379,9 +353,9 @@
    * @param answer answer
    */
   public void answered(ClaimId id, ClaimId claim, ClaimAnswer answer) {
-    Attempt attempt = attempts.get(id);
+    ClaimAttempt attempt = attempts.get(id);
     if (attempt != null
-        && attempt.phase == Phase.ASKING
+        && attempt.phase == ClaimAttempt.Phase.ASKING
         && attempt.asked.equals(Optional.of(claim))) {
       settle(attempt, claim, answer);
     }
@@ -397,7 +371,7 @@
     answered(id, claim, new ClaimAnswer.Unknown());
   }
 
-  private void settle(Attempt attempt, ClaimId claim, ClaimAnswer answer) {
+  private void settle(ClaimAttempt attempt, ClaimId claim, ClaimAnswer answer) {
     switch (answer) {
       case ClaimAnswer.Stored stored -> {
         actions.add(new ClaimAction.Answer(attempt.claim.id(), stored.answer()));
@@ -409,14 +383,14 @@
           refuse(attempt, ResultCode.ALREADY_RAN, "its answer is not held", Duration.ZERO);
       case ClaimAnswer.MayHaveRun unknown -> refuseUnknown(attempt);
       case ClaimAnswer.NotRun notRun -> {
-        attempt.phase = Phase.AWAITING_RELEASE;
+        attempt.phase = ClaimAttempt.Phase.AWAITING_RELEASE;
         attempt.limit = attempt.deadline;
       }
       case ClaimAnswer.Unknown gone -> settleByLog(attempt);
     }
   }
 
-  private void settleByLog(Attempt attempt) {
+  private void settleByLog(ClaimAttempt attempt) {
     if (index.isFinished(attempt.claim.key())) {
       refuse(attempt, ResultCode.ALREADY_RAN, "its node is gone", Duration.ZERO);
     } else {
@@ -424,21 +398,21 @@
     }
   }
 
-  private void refuseUnknown(Attempt attempt) {
+  private void refuseUnknown(ClaimAttempt attempt) {
     refuse(attempt, ResultCode.OUTCOME_UNKNOWN, "an earlier attempt may have run", Duration.ZERO);
   }
 
-  private void refuseLate(Attempt attempt) {
+  private void refuseLate(ClaimAttempt attempt) {
     refuse(attempt, ResultCode.DEADLINE_PASSED, "this attempt was not run", RETRY_AFTER);
   }
 
-  private void refuse(Attempt attempt, ResultCode code, String detail, Duration retryAfter) {
+  private void refuse(ClaimAttempt attempt, ResultCode code, String detail, Duration retryAfter) {
     abandon(attempt);
     actions.add(new ClaimAction.Refuse(attempt.claim.id(), new Refusal(code, detail, retryAfter)));
   }
 
   /** Gives up an attempt that was not sent; it is never sent afterwards. */
-  private void abandon(Attempt attempt) {
+  private void abandon(ClaimAttempt attempt) {
     ClaimEntry.Claimed claim = attempt.claim;
     attempts.remove(claim.id());
     attemptsByKey.remove(claim.key(), claim.id());
@@ -457,15 +431,15 @@
    *     attempt was or is refused by an action and must not be sent
    */
   public boolean begin(ClaimId id) {
-    Attempt attempt = attempts.get(id);
-    if (attempt == null || attempt.phase != Phase.ENTITLED) {
+    ClaimAttempt attempt = attempts.get(id);
+    if (attempt == null || attempt.phase != ClaimAttempt.Phase.ENTITLED) {
       return false;
     }
     if (!clock.instant().isBefore(attempt.limit)) {
       refuseLate(attempt);
       return false;
     }
-    attempt.phase = Phase.RUNNING;
+    attempt.phase = ClaimAttempt.Phase.RUNNING;
     return true;
   }
 
@@ -490,8 +464,8 @@
   }
 
   private void end(ClaimId id, Outcome outcome) {
-    Attempt attempt = attempts.get(id);
-    if (attempt == null || attempt.phase != Phase.RUNNING) {
+    ClaimAttempt attempt = attempts.get(id);
+    if (attempt == null || attempt.phase != ClaimAttempt.Phase.RUNNING) {
       throw new IllegalStateException("attempt was not sent: " + id);
     }
     attempts.remove(id);
@@ -519,12 +493,16 @@
   /** Lets time pass: ends waits that took too long, sends due batches, forgets old keys. */
   public void tick() {
     Instant now = clock.instant();
-    List<Attempt> late =
+    List<ClaimAttempt> late =
         attempts.values().stream()
-            .filter(attempt -> attempt.phase != Phase.RUNNING)
+            .filter(attempt -> attempt.phase != ClaimAttempt.Phase.RUNNING)
             .filter(attempt -> !now.isBefore(attempt.limit) || !now.isBefore(attempt.deadline))
             .toList();
     late.forEach(this::expire);
+    attempts.values().stream()
+        .filter(attempt -> attempt.phase == ClaimAttempt.Phase.ENTITLED)
+        .filter(attempt -> !now.isBefore(attempt.dueAt(settings.dispatchRight())))
+        .forEach(attempt -> attempt.entitle(now.plus(settings.dispatchRight())));
     for (ClaimKey key : index.expire(now)) {
       Optional.ofNullable(ended.remove(key))
           .ifPresent(map -> map.keySet().forEach(outbox::withdraw));
@@ -532,8 +510,8 @@
     flush();
   }
 
-  private void expire(Attempt attempt) {
-    if (attempt.phase == Phase.ASKING && clock.instant().isBefore(attempt.deadline)) {
+  private void expire(ClaimAttempt attempt) {
+    if (attempt.phase == ClaimAttempt.Phase.ASKING && clock.instant().isBefore(attempt.deadline)) {
       settleByLog(attempt);
     } else {
       refuseLate(attempt);
@@ -554,8 +532,8 @@
   public Optional<Instant> nextTick() {
     Optional<Instant> earliest =
         attempts.values().stream()
-            .filter(attempt -> attempt.phase != Phase.RUNNING)
-            .map(attempt -> attempt.limit)
+            .filter(attempt -> attempt.phase != ClaimAttempt.Phase.RUNNING)
+            .map(attempt -> attempt.dueAt(settings.dispatchRight()))
             .min(Instant::compareTo);
     if (outbox.isEmpty()) {
       return earliest;
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/idempotency/ClaimSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/idempotency/ClaimSettings.java
@@ -8,9 +8,9 @@
  * Limits of the claims of one node.
  *
  * @param retention time for which the platform's log keeps a record at least
- * @param dispatchRight time for which a node may send a request after it read its own claim. It
- *     bounds what a paused node does: when it runs again, it releases the claim instead of sending
- *     a request whose caller may be gone
+ * @param dispatchRight time for which a node may send a request after it read its own claim or
+ *     renewed the right. It bounds what a paused node does: when it runs again, it releases the
+ *     claim instead of sending a request whose caller may be gone
  * @param answerTimeout time to wait for the node of another claim
  * @param storedAnswerAge time for which answers are held
  * @param storedAnswerBytes bound on the bodies of all held answers, in bytes
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
@@ -105,7 +105,8 @@
     }
     peers.caughtUp(nextOffset);
     Set<ShardId> startedBefore = Set.copyOf(tenures.started().keySet());
-    tenures.changed(state.owners(), skipped, run(), now);
+    // A run leaves the view only when it has stopped granting: by its own leave or its certain end.
+    tenures.changed(state.owners(), skipped, gone -> membership.find(gone).isPresent(), run(), now);
     updateTenures(now);
     startedBefore.stream()
         .filter(shard -> !tenures.owned().containsKey(shard))
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipSettings.java
@@ -48,4 +48,23 @@
   public Duration takeoverWait() {
     return lease.plus(permitValidity).plus(driftMargin);
   }
+
+  /**
+   * Returns how long a successor waits for the permits of a run that is certain to have ended.
+   *
+   * @return permit validity and margin together
+   */
+  public Duration waitAfterEnd() {
+    return permitValidity.plus(driftMargin);
+  }
+
+  /**
+   * Returns the longest time from the failure of an owner to the grants of its successor while the
+   * log can be read.
+   *
+   * @return detection, the wait of the successor, and 1 s for ranked appends and reads of the log
+   */
+  public Duration takeoverLimit() {
+    return detection.plus(takeoverWait()).plusSeconds(1);
+  }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/Tenures.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/Tenures.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.cactusseam.logic.control.ShardOwners;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ShardId;
@@ -36,8 +37,17 @@
     this.settings = settings;
   }
 
-  /** Notes the owners after a record, or after several if records were skipped. */
-  void changed(ShardOwners current, boolean skipped, RunId self, Instant now) {
+  /**
+   * Notes the owners after a record, or after several if records were skipped.
+   *
+   * @param current owners by the log
+   * @param skipped whether records were not applied one by one
+   * @param mayStillRun tells whether a run may still believe that it owns shards
+   * @param self run of this node
+   * @param now current time
+   */
+  void changed(
+      ShardOwners current, boolean skipped, Predicate<RunId> mayStillRun, RunId self, Instant now) {
     Instant until = now.plus(settings.takeoverWait());
     if (current != owners || skipped) {
       for (Map.Entry<ShardId, Optional<ShardOwner>> entry : current.owners().entrySet()) {
@@ -51,7 +61,12 @@
               .map(ShardOwner::run)
               .filter(run -> !run.equals(self))
               .filter(run -> !isReleased(shard, run, entry.getValue()))
-              .ifPresent(run -> block(shard, run, until));
+              .ifPresent(
+                  run ->
+                      block(
+                          shard,
+                          run,
+                          mayStillRun.test(run) ? until : now.plus(settings.waitAfterEnd())));
         }
       }
       owners = current;
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/admission/EstimatesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/admission/EstimatesTest.java
@@ -29,6 +29,18 @@
     assertThat(histogram.expectedTotal(seen), is(closeTo(expected, expected / 10)));
   }
 
+  /** A successor that judged by a whole window refused the queue that it took over. */
+  @ParameterizedTest(name = "{0} grants in {1} ms, 20 attempts ahead: {2} ms")
+  @CsvSource({"0, 100, 0", "4, 100, 5000", "4, 1000, 5000", "4, 2000, 10000", "30, 7500, 5000"})
+  void a_rate_counts_grants_over_the_time_since_the_first(int grants, long millis, double wait) {
+    ServiceRate rate = new ServiceRate();
+    for (int number = 0; number < grants; number++) {
+      rate.granted(1_000_000 + number);
+    }
+
+    assertThat(rate.waitMillis(20, grants, 1_000_000 + millis), is(closeTo(wait, wait / 10)));
+  }
+
   @Test
   void an_output_longer_than_all_others_is_expected_to_go_on() {
     LengthHistogram histogram = new LengthHistogram();
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/idempotency/ClaimCoordinatorTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/idempotency/ClaimCoordinatorTest.java
@@ -140,6 +140,19 @@
     assertThat(coordinator.begin(id), is(false));
   }
 
+  /** Under load the permit for an entitled attempt can come later than the first right lasts. */
+  @ParameterizedTest(name = "waits {0} ms in steps of {1} ms: may send {2}")
+  @CsvSource({"8000, 500, true", "8000, 900, true", "8000, 1000, false", "30000, 500, false"})
+  void a_node_that_runs_may_send_until_the_deadline(long waits, long step, boolean allowed) {
+    ClaimId id = claimAndRead(keyOfAge(Duration.ZERO));
+    for (long waited = 0; waited < waits; waited += step) {
+      clock.advance(Duration.ofMillis(step));
+      coordinator.tick();
+    }
+
+    assertThat(coordinator.begin(id), is(allowed));
+  }
+
   @Test
   void a_claim_of_an_earlier_boot_counts_as_unknown_until_its_end_is_recorded() {
     ClaimKey key = ClaimKey.parse(SHOP, keyOfAge(Duration.ZERO)).orElseThrow();
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/membership/TenuresTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/membership/TenuresTest.java
@@ -18,7 +18,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Guards against a late handover of an earlier epoch that ends the wait for a later one. */
+/**
+ * Guards against a successor that grants while permits of the earlier owner are valid, and against
+ * a late handover of an earlier epoch that ends the wait for a later one.
+ */
 class TenuresTest {
 
   private static final ShardId SHARD = new ShardId(new PoolName("p"), new RegionName("r"), 0);
@@ -38,11 +41,11 @@
       long epoch, boolean before, boolean clear) {
     Tenures tenures = new Tenures(MembershipSettings.DEFAULT);
     Handover handover = new Handover(SHARD, SECOND, epoch, FIRST, SECOND, Set.of());
-    tenures.changed(owned(FIRST, 7), false, SECOND, Instant.EPOCH);
+    tenures.changed(owned(FIRST, 7), false, run -> true, SECOND, Instant.EPOCH);
     if (before) {
       tenures.releasedByRecord(handover);
     }
-    tenures.changed(owned(SECOND, 10), false, SECOND, Instant.EPOCH);
+    tenures.changed(owned(SECOND, 10), false, run -> true, SECOND, Instant.EPOCH);
     if (!before) {
       tenures.releasedByRecord(handover);
     }
@@ -51,6 +54,18 @@
     assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusSeconds(5)), is(true));
   }
 
+  /** Permits of the ended run may still be used for the time of their validity. */
+  @ParameterizedTest(name = "the earlier owner may still run {0}, after {1} ms: {2}")
+  @CsvSource({"true, 4499, false", "true, 4500, true", "false, 1499, false", "false, 1500, true"})
+  void the_wait_for_a_run_that_has_ended_is_that_for_its_permits(
+      boolean mayStillRun, long millis, boolean clear) {
+    Tenures tenures = new Tenures(MembershipSettings.DEFAULT);
+    tenures.changed(owned(FIRST, 7), false, run -> true, SECOND, Instant.EPOCH);
+    tenures.changed(owned(SECOND, 10), false, run -> mayStillRun, SECOND, Instant.EPOCH);
+
+    assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusMillis(millis)), is(clear));
+  }
+
   private static ShardOwners owned(RunId run, long epoch) {
     return new ShardOwners(Map.of(SHARD, Optional.of(new ShardOwner(run, epoch))));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/AttemptLoop.java
@@ -70,6 +70,7 @@
   private @Nullable PermitRequestId asked;
   private boolean stopped;
   private boolean mayHaveRun;
+  private boolean takeoverExpected;
 
   AttemptLoop(
       CallerServices services,
@@ -142,6 +143,10 @@
     switch (answer) {
       case PermitAnswer.Granted granted -> granted(granted);
       case PermitAnswer.Denied denied -> denied(denied.refusal());
+      case PermitAnswer.WithoutOwner without -> {
+        takeoverExpected = true;
+        denied(without.refusal());
+      }
     }
   }
 
@@ -163,11 +168,18 @@
     }
     boolean isFinal =
         refusal.code() == ResultCode.DEADLINE_PASSED || refusal.code() == ResultCode.NOT_READY;
-    if (isFinal || shardIndex + 1 >= shards.size()) {
+    boolean isLastShard = shardIndex + 1 >= shards.size();
+    if (isFinal || (isLastShard && !takeoverExpected)) {
       refuse(refusal);
       return;
     }
-    shardIndex++;
+    if (isLastShard) {
+      // The next owner of a shard is worth a further round; the router paces the questions.
+      takeoverExpected = false;
+      shardIndex = 0;
+    } else {
+      shardIndex++;
+    }
     ask();
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
@@ -57,7 +57,10 @@
   private final ClaimCoordinator coordinator;
   private final LogTailer tailer;
   private final Map<ClaimId, Consumer<ClaimOutcome>> waiting = new HashMap<>();
-  private boolean timerSet;
+  private Optional<Wakeup> wakeup = Optional.empty();
+
+  /** Timer that is set, and when it fires. */
+  private record Wakeup(long timer, Instant at) {}
 
   ClaimDesk(
       Vertx vertx,
@@ -195,18 +198,19 @@
   /** One timer for the next thing to do: a daemon without claims must not wake up for them. */
   private void schedule() {
     Optional<Instant> next = coordinator.nextTick();
-    if (next.isEmpty() || timerSet) {
+    if (next.isEmpty() || wakeup.filter(set -> !next.get().isBefore(set.at())).isPresent()) {
       return;
     }
-    timerSet = true;
+    wakeup.ifPresent(set -> vertx.cancelTimer(set.timer()));
     long delay = Duration.between(clock.instant(), next.get()).toMillis();
-    vertx.setTimer(
-        Math.max(1, delay),
-        timer -> {
-          timerSet = false;
-          coordinator.tick();
-          perform();
-        });
+    long timer = vertx.setTimer(Math.max(1, delay), fired -> tick());
+    wakeup = Optional.of(new Wakeup(timer, next.get()));
+  }
+
+  private void tick() {
+    wakeup = Optional.empty();
+    coordinator.tick();
+    perform();
   }
 
   private void append(ClaimAction.Append append) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -115,7 +115,12 @@
     this.ownership = new ShardOwnership(log::state);
     this.router =
         new PermitRouter(
-            thread, clock, ownership::ownerOf, () -> log.state().nextOffset(), this::send);
+            thread,
+            clock,
+            ownership::ownerOf,
+            () -> log.state().nextOffset(),
+            times.takeoverLimit(),
+            this::send);
     this.quarantine =
         new QuarantineDesk(
             self.node(), clock, this::send, this::sendToPeers, ownership::ownersOfPool);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitAnswer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitAnswer.java
@@ -21,4 +21,12 @@
    * @param refusal numbered reason
    */
   record Denied(Refusal refusal) implements PermitAnswer {}
+
+  /**
+   * No node grants permits of the shard now, and one is expected to take it over soon. The attempt
+   * must not be sent; the caller may ask again, also for another shard.
+   *
+   * @param refusal numbered reason, for a caller that does not ask again
+   */
+  record WithoutOwner(Refusal refusal) implements PermitAnswer {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -51,7 +51,15 @@
   /** Half of the validity, so that a waiting attempt always has a question that is young enough. */
   private static final Duration ASK_INTERVAL = Duration.ofMillis(500);
 
-  /** Without any answer for this long, the owner counts as gone and the caller tries elsewhere. */
+  /**
+   * Time between questions to nodes that may not grant yet. A planned handover takes about as long.
+   */
+  private static final Duration ASK_INTERVAL_WITHOUT_OWNER = Duration.ofMillis(250);
+
+  /**
+   * Without an answer of a node that may grant for this long, the shard counts as without owner and
+   * the caller tries elsewhere.
+   */
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(1);
 
   private static final Duration RETRY_WITHOUT_OWNER = Duration.ofSeconds(2);
@@ -65,6 +73,7 @@
   private final Map<PermitRequestId, Running> running = new HashMap<>();
   private final Map<PermitRequestId, Held> held = new HashMap<>();
   private final Map<ShardId, NodeName> informedOwners = new HashMap<>();
+  private final ShardOutages outages;
 
   /** A failure that waits for the owner; the callbacks are empty until someone waits. */
   private static final class Held {
@@ -81,7 +90,9 @@
     final Consumer<PermitAnswer> answer;
     final Instant deadline;
     final List<Instant> rounds = new ArrayList<>();
+    Optional<NodeName> askedNode = Optional.empty();
     Instant lastAnswer;
+    boolean withoutOwner;
 
     Question(PermitRequest request, Consumer<PermitAnswer> answer, Instant now) {
       this.request = request;
@@ -107,8 +118,10 @@
       Clock clock,
       Function<ShardId, Optional<NodeName>> owners,
       LongSupplier viewOffset,
+      Duration takeoverLimit,
       Sender sender) {
     this.viewOffset = viewOffset;
+    this.outages = new ShardOutages(takeoverLimit);
     this.thread = thread;
     this.clock = clock;
     this.owners = owners;
@@ -193,11 +206,15 @@
   }
 
   private void start(PermitRequest request, Consumer<PermitAnswer> answer) {
+    Instant now = clock.instant();
     if (owners.apply(request.shard()).isEmpty()) {
-      answer.accept(noOwner(request.shard()));
-      return;
+      outages.noted(request.shard(), now);
+      if (!outages.isTakeoverExpected(request.shard(), now)) {
+        answer.accept(noOwner(request.shard()));
+        return;
+      }
     }
-    Question question = new Question(request, answer, clock.instant());
+    Question question = new Question(request, answer, now);
     questions.put(request.id(), question);
     sendRound(question);
   }
@@ -205,6 +222,7 @@
   private void sendRound(Question question) {
     Instant now = clock.instant();
     question.rounds.add(now);
+    question.askedNode = owners.apply(question.request.shard());
     PermitRequest request =
         withPatience(question.request, Duration.between(now, question.deadline));
     send(
@@ -240,23 +258,42 @@
       case AdmissionDecision.Queued queued -> {
         if (question != null) {
           question.lastAnswer = clock.instant();
+          question.withoutOwner = false;
+          outages.ended(question.request.shard());
         }
       }
       case AdmissionDecision.Refused refused -> {
         if (question != null) {
-          questions.remove(decision.id());
-          question.answer.accept(
-              new PermitAnswer.Denied(
-                  new Refusal(
-                      refused.code(),
-                      refused.detail(),
-                      Duration.ofMillis(refused.retryAfterMillis()))));
+          refused(question, refused);
         }
       }
       case AdmissionDecision.Granted granted -> granted(question, granted.permit(), round);
     }
   }
 
+  /**
+   * A node that may not grant has not decided about the attempt. During a change of owner the
+   * attempt stays, so that a planned handover refuses nobody.
+   */
+  private void refused(Question question, AdmissionDecision.Refused refused) {
+    ShardId shard = question.request.shard();
+    Instant now = clock.instant();
+    if (refused.code() == ResultCode.NO_ADMISSION) {
+      outages.noted(shard, now);
+      if (outages.isTakeoverExpected(shard, now)) {
+        question.withoutOwner = true;
+        return;
+      }
+    } else {
+      outages.ended(shard);
+    }
+    questions.remove(refused.id());
+    question.answer.accept(
+        new PermitAnswer.Denied(
+            new Refusal(
+                refused.code(), refused.detail(), Duration.ofMillis(refused.retryAfterMillis()))));
+  }
+
   private void granted(
       @org.jspecify.annotations.Nullable Question question, Permit permit, int round) {
     if (question == null) {
@@ -270,11 +307,10 @@
     Instant validUntil = known ? question.rounds.get(round).plus(VALIDITY) : Instant.MIN;
     if (!clock.instant().isBefore(validUntil)) {
       sendEnded(permit.shard(), permit.id(), AttemptEnd.NOT_SENT, 0);
-      question.answer.accept(
-          new PermitAnswer.Denied(
-              new Refusal(ResultCode.NO_ADMISSION, "the permit came too late", Duration.ZERO)));
+      withoutOwner(question, "the permit came too late");
       return;
     }
+    outages.ended(permit.shard());
     running.put(permit.id(), new Running(question.request, permit));
     question.answer.accept(new PermitAnswer.Granted(permit, validUntil));
   }
@@ -289,21 +325,45 @@
             .toList();
     overdue.forEach(this::released);
     for (Question question : List.copyOf(questions.values())) {
-      Instant lastRound = question.rounds.get(question.rounds.size() - 1);
       if (!now.isBefore(question.deadline)) {
-        giveUp(question, ResultCode.DEADLINE_PASSED, "deadline passed while waiting");
+        giveUp(question);
+        question.answer.accept(
+            new PermitAnswer.Denied(
+                new Refusal(
+                    ResultCode.DEADLINE_PASSED,
+                    "deadline passed while waiting",
+                    RETRY_WITHOUT_OWNER)));
       } else if (now.isAfter(question.lastAnswer.plus(ANSWER_TIMEOUT))) {
-        giveUp(question, ResultCode.NO_ADMISSION, "no answer from the owner of the shard");
-      } else if (!now.isBefore(lastRound.plus(ASK_INTERVAL))) {
+        giveUp(question);
+        withoutOwner(question, "no answer from an owner of the shard");
+      } else if (isRoundDue(question, now)) {
         sendRound(question);
       }
     }
   }
 
-  private void giveUp(Question question, ResultCode code, String detail) {
+  private boolean isRoundDue(Question question, Instant now) {
+    Duration interval = question.withoutOwner ? ASK_INTERVAL_WITHOUT_OWNER : ASK_INTERVAL;
+    Instant lastRound = question.rounds.get(question.rounds.size() - 1);
+    return !now.isBefore(lastRound.plus(interval))
+        || !question.askedNode.equals(owners.apply(question.request.shard()));
+  }
+
+  private void giveUp(Question question) {
     questions.remove(question.request.id());
     sendEnded(question.request.shard(), question.request.id(), AttemptEnd.NOT_SENT, 0);
-    question.answer.accept(new PermitAnswer.Denied(new Refusal(code, detail, RETRY_WITHOUT_OWNER)));
+  }
+
+  /** Ends a question that got no decision. */
+  private void withoutOwner(Question question, String detail) {
+    ShardId shard = question.request.shard();
+    Instant now = clock.instant();
+    outages.noted(shard, now);
+    Refusal refusal = new Refusal(ResultCode.NO_ADMISSION, detail, RETRY_WITHOUT_OWNER);
+    question.answer.accept(
+        outages.isTakeoverExpected(shard, now)
+            ? new PermitAnswer.WithoutOwner(refusal)
+            : new PermitAnswer.Denied(refusal));
   }
 
   /**
