Run calls of the system tests in threads of their own

Cause: the tests used the common pool, whose size depends on the processors of the machine. With 24 streams at once OwnerChangeTest would queue fewer requests on a small machine, and test classes that run side by side would wait for each other's calls.

Not run yet with other classes beside it.

--- a/cactusseam-standins/src/test/java/org/cactusseam/system/OwnerChangeTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/OwnerChangeTest.java
@@ -76,7 +76,7 @@
 
   /** Sends bookings one after the other until told to stop; returns the answers of refusals. */
   private CompletableFuture<List<String>> bookings(String entry, AtomicBoolean stopped) {
-    return CompletableFuture.supplyAsync(
+    return Background.call(
         () -> {
           List<String> refused = new ArrayList<>();
           while (!stopped.get()) {
@@ -95,7 +95,7 @@
     List<CompletableFuture<ModelCall>> calls = new ArrayList<>();
     for (int number = 0; number < QUEUED; number++) {
       ModelCall call = new ModelCall("stream " + number, TOKENS);
-      calls.add(CompletableFuture.supplyAsync(() -> call.send(system.port(entry))));
+      calls.add(Background.call(() -> call.send(system.port(entry))));
     }
     return calls;
   }
