Test the permit router on a paused clock

Cause: what an attempt does while its shard has no owner was proved only by separate processes, which cannot set the times.

The question is started on the control thread directly, so that the test needs no event loop.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -205,7 +205,8 @@
     }
   }
 
-  private void start(PermitRequest request, Consumer<PermitAnswer> answer) {
+  /** Asks for a permit on the control thread; the answer comes there as well. */
+  void start(PermitRequest request, Consumer<PermitAnswer> answer) {
     Instant now = clock.instant();
     if (owners.apply(request.shard()).isEmpty()) {
       outages.noted(request.shard(), now);
