Give each request to a backend server a connection of its own

Cause: connections to backend servers were reused. HTTP/1.1 matches answers to requests only by their order, so the second copy of an answer that arrives after the next request was written is read as the answer to that request. A raw-socket server showed it: the request for /letters/1 got "answer to /letters/0", and the stream stream-1 got the tokens of stream-0. Bytes that followed an answer at once did not reach another caller, but the next request failed.

Ruled out: a check of the stream header of each response. Closing a connection only after visible surplus leaves the case above open, because the copy comes after the next request was written.

Change: BackendConnections makes the client of the callers' requests without reuse; CallerServer uses it. OrderClient worked like this already. The cost is one round trip for each request. At the target scale a daemon opens 31,000 / 800 = 39 connections a second (calculated, not measured).

--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/BackendConnections.java
@@ -0,0 +1,31 @@
+package org.cactusseam.edge.backend;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+
+/**
+ * Connections that carry the requests of callers to backend servers. Each request has a connection
+ * of its own: HTTP/1.1 matches answers to requests only by their order, so on a reused connection
+ * the second copy of an answer, or surplus bytes after one, would go to the next caller.
+ */
+public final class BackendConnections {
+
+  /** Engines are few and streams are long, so each stream needs a connection of its own. */
+  private static final int MAXIMUM_CONNECTIONS = 20_000;
+
+  private BackendConnections() {}
+
+  /**
+   * Creates the client of one event loop.
+   *
+   * @param vertx event loops
+   * @return client
+   */
+  public static HttpClient createClient(Vertx vertx) {
+    return vertx.createHttpClient(
+        new HttpClientOptions().setTcpNoDelay(true).setKeepAlive(false),
+        new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(0));
+  }
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -5,11 +5,9 @@
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.PemKeyCertOptions;
@@ -21,6 +19,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.cactusseam.edge.backend.BackendConnections;
 import org.cactusseam.edge.backend.Headers;
 import org.cactusseam.edge.control.RoutingView;
 import org.cactusseam.edge.logging.StructuredLog;
@@ -40,9 +39,6 @@
   private static final String BEARER = "Bearer ";
   private static final String BODY_TIMER = "body-timer";
 
-  /** Engines are few and streams are long, so each stream needs a connection of its own. */
-  private static final int ENGINE_CONNECTIONS = 20_000;
-
   /** A body that takes longer to arrive is refused; it may be a half-open connection. */
   private static final long BODY_TIMEOUT_MILLIS = 20_000;
 
@@ -73,12 +69,7 @@
     this.services = services;
     this.gate = gate;
     this.readiness = readiness;
-    this.client =
-        services
-            .vertx()
-            .createHttpClient(
-                new HttpClientOptions().setTcpNoDelay(true).setKeepAlive(true),
-                new PoolOptions().setHttp1MaxSize(ENGINE_CONNECTIONS).setMaxWaitQueueSize(0));
+    this.client = BackendConnections.createClient(services.vertx());
   }
 
   @Override
--- /dev/null
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/backend/LateBytesTest.java
@@ -0,0 +1,240 @@
+package org.cactusseam.edge.backend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cactusseam.logic.stream.GenerationId;
+import org.cactusseam.model.AccountName;
+import org.cactusseam.model.BackendKind;
+import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.BackendServerName;
+import org.cactusseam.model.FailureDomainName;
+import org.cactusseam.model.PoolName;
+import org.cactusseam.model.ResultCode;
+import org.cactusseam.model.ServiceState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against a caller who gets bytes of an answer to somebody else, when a backend server
+ * answers late, twice or with more bytes than it announced. The server writes raw bytes.
+ */
+@Timeout(60)
+class LateBytesTest {
+
+  private static final int REQUESTS = 4;
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nCactusseam-Incarnation: run-1\r\n";
+
+  /** What the server writes beside the right answer. */
+  enum Fault {
+    /** The answer comes twice in one piece. */
+    TWICE_AT_ONCE,
+    /** The answer comes again when the next request arrives on the connection. */
+    AGAIN_BEFORE_THE_NEXT_ANSWER,
+    /** A part of the answer comes again when the next request arrives on the connection. */
+    PART_BEFORE_THE_NEXT_ANSWER,
+    /** Bytes that belong to no answer follow. */
+    SURPLUS_BYTES,
+    /** The answer is withheld until the next request arrives on the connection. */
+    LATE
+  }
+
+  private final Vertx vertx = Vertx.vertx();
+  private final List<Socket> open = new ArrayList<>();
+  private ServerSocket server;
+  private volatile Fault fault = Fault.LATE;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+    server.close();
+    for (Socket socket : open) {
+      socket.close();
+    }
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        open.add(socket);
+        Thread.ofVirtual().start(() -> serve(socket));
+      } catch (IOException e) {
+        // The test has ended.
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try {
+      BufferedReader requests =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+      String earlier = "";
+      for (String line = requests.readLine(); line != null; line = requests.readLine()) {
+        String path = line.split(" ")[1];
+        while (!requests.readLine().isEmpty()) {
+          // Headers do not matter here, and no request has a body.
+        }
+        String answer = path.startsWith("/streams/") ? stream(path) : plain(path);
+        write(socket.getOutputStream(), earlier, answer);
+        earlier = answer;
+      }
+    } catch (IOException e) {
+      // The client closed the connection.
+    }
+  }
+
+  private void write(OutputStream output, String earlier, String answer) throws IOException {
+    String bytes =
+        switch (fault) {
+          case TWICE_AT_ONCE -> answer + answer;
+          case AGAIN_BEFORE_THE_NEXT_ANSWER -> earlier + answer;
+          case PART_BEFORE_THE_NEXT_ANSWER -> earlier.substring(earlier.length() / 2) + answer;
+          case SURPLUS_BYTES -> answer + "surplus of the answer\r\n\r\n";
+          case LATE -> earlier;
+        };
+    output.write(bytes.getBytes(StandardCharsets.US_ASCII));
+    output.flush();
+  }
+
+  private static String plain(String path) {
+    String body = "answer to " + path;
+    return HEAD + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  /** A stream of two tokens, both named after the stream. */
+  private static String stream(String path) {
+    String id = path.substring("/streams/".length(), path.indexOf('?'));
+    String token = "id: %d\ndata: {\"choices\":[{\"text\":\"%s\",\"finish_reason\":null}]}\n\n";
+    String body =
+        token.formatted(0, id)
+            + token.formatted(1, id)
+            + "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}],"
+            + "\"usage\":{\"completion_tokens\":2}}\n\ndata: [DONE]\n\n";
+    return HEAD + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  /** An answer that never comes is allowed; the bytes of another one are not. */
+  @ParameterizedTest
+  @EnumSource
+  void a_plain_answer_has_no_byte_of_another(Fault tried) throws Exception {
+    fault = tried;
+    HttpClient client = BackendConnections.createClient(vertx);
+    List<String> expected = new ArrayList<>();
+    List<String> answers = new ArrayList<>();
+    for (int number = 0; number < REQUESTS; number++) {
+      String path = "/letters/" + number;
+      expected.add(tried == Fault.LATE ? "none" : "answer to " + path);
+      answers.add(plainAnswer(client, path));
+    }
+
+    assertThat(answers, is(expected));
+  }
+
+  private String plainAnswer(HttpClient client, String path) throws Exception {
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(HttpMethod.GET)
+            .setHost("127.0.0.1")
+            .setPort(server.getLocalPort())
+            .setIdleTimeout(200)
+            .setURI(path);
+    return client
+        .request(options)
+        .compose(request -> request.send())
+        .compose(HttpClientResponse::body)
+        .map(body -> body.toString())
+        .otherwise("none")
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(30, TimeUnit.SECONDS);
+  }
+
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "LATE")
+  void a_stream_has_no_token_of_another(Fault tried) throws Exception {
+    fault = tried;
+    HttpClient client = BackendConnections.createClient(vertx);
+    for (int number = 0; number < REQUESTS; number++) {
+      Recorded recorded = new Recorded();
+      String stream = "stream-" + number;
+      GenerationId generation =
+          new GenerationId(engine().name(), "run-1", stream, new AccountName("salon"));
+      GenerationRelay relay =
+          new GenerationRelay(vertx, Clock.systemUTC(), client, engine(), generation, 0, recorded);
+
+      vertx.runOnContext(ignored -> relay.resume());
+
+      assertThat(recorded.end.get(30, TimeUnit.SECONDS), is("whole"));
+      assertThat(recorded.tokens, is(List.of(stream, stream)));
+    }
+  }
+
+  private BackendServer engine() {
+    return new BackendServer(
+        new BackendServerName("llm-1"),
+        new PoolName("llm"),
+        new FailureDomainName("ost-wien"),
+        BackendKind.ENGINE,
+        "127.0.0.1",
+        server.getLocalPort(),
+        true,
+        1,
+        8,
+        1000,
+        ServiceState.IN);
+  }
+
+  private static final class Recorded implements GenerationRelay.Sink {
+    private final List<String> tokens = new ArrayList<>();
+    private final CompletableFuture<String> end = new CompletableFuture<>();
+
+    @Override
+    public void token(long index, String data) {
+      tokens.add(data.replaceAll(".*\"text\":\"(.*?)\".*", "$1"));
+    }
+
+    @Override
+    public void completed(String finish, long count) {
+      end.complete("whole");
+    }
+
+    @Override
+    public void lost(ResultCode code, String detail) {
+      end.complete(code.name());
+    }
+
+    @Override
+    public boolean isFull() {
+      return false;
+    }
+  }
+}
