Test cuts between daemons and regions with separate processes

Cause: cuts of peer connections and of whole regions were proved only in the core's generated faults.

Change: a relay for each direction between each two daemons, which closes connections or holds all bytes back. Daemons take the addresses of their peers from the control log, which is the same for all, so the VM list cannot put a relay between two of them; a Vert.x transport on the test class path maps the dialled ports instead. It does nothing without its system property.

Ruled out: an address for peers in the settings that differs from the one listened to; it would be a product change for a test only.

--- a/cactusseam-standins/src/test/java/org/cactusseam/system/ChildProcess.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/ChildProcess.java
@@ -20,10 +20,16 @@
   }
 
   static ChildProcess start(Path folder, String name, String mainClass, List<String> arguments) {
+    return start(folder, name, List.of(), mainClass, arguments);
+  }
+
+  static ChildProcess start(
+      Path folder, String name, List<String> options, String mainClass, List<String> arguments) {
     Path output = folder.resolve(name + ".log");
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(List.of("-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    command.addAll(options);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
     command.addAll(arguments);
     try {
--- /dev/null
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/PeerRelays.java
@@ -0,0 +1,70 @@
+package org.cactusseam.system;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** A relay for each direction between each two daemons, so that a test can cut any set of links. */
+final class PeerRelays implements AutoCloseable {
+
+  /**
+   * A connection between two daemons.
+   *
+   * @param from daemon that dials
+   * @param to daemon that is dialled
+   */
+  record Link(String from, String to) {
+
+    boolean touches(String entry) {
+      return from.equals(entry) || to.equals(entry);
+    }
+  }
+
+  private final Map<String, Integer> peerPorts = new HashMap<>();
+  private final Map<Link, Relay> relays = new HashMap<>();
+
+  PeerRelays(List<String> entries) {
+    entries.forEach(entry -> peerPorts.put(entry, FreePorts.next()));
+    for (String from : entries) {
+      for (String to : entries) {
+        if (!from.equals(to)) {
+          relays.put(new Link(from, to), new Relay(peerPorts.get(to)));
+        }
+      }
+    }
+  }
+
+  int peerPort(String entry) {
+    return peerPorts.get(entry);
+  }
+
+  /** Returns the option that makes the process of a daemon dial the relays. */
+  String option(String entry) {
+    Map<Integer, Integer> ports = new HashMap<>();
+    relays.forEach(
+        (link, relay) -> {
+          if (link.from.equals(entry)) {
+            ports.put(peerPorts.get(link.to), relay.port());
+          }
+        });
+    return RelayedTransport.option(ports);
+  }
+
+  List<Relay> select(Predicate<Link> chosen) {
+    return relays.entrySet().stream()
+        .filter(entry -> chosen.test(entry.getKey()))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
+  /** Returns whether every daemon reached every other through its relay. */
+  boolean areAllUsed() {
+    return relays.values().stream().allMatch(Relay::wasUsed);
+  }
+
+  @Override
+  public void close() {
+    relays.values().forEach(Relay::close);
+  }
+}
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/Relay.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/Relay.java
@@ -13,10 +13,14 @@
 /** Forwards TCP connections to a port, and cuts them when a test says so. */
 final class Relay implements AutoCloseable {
 
+  private static final int BUFFER_BYTES = 16 * 1024;
+
   private final int target;
   private final ServerSocket server;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private volatile boolean cut;
+  private volatile boolean used;
+  private final Gate gate = new Gate();
 
   Relay(int target) {
     this.target = target;
@@ -38,8 +42,20 @@
     open.forEach(Relay::closeQuietly);
   }
 
+  /** Holds back all bytes without closing anything, as a link does that drops packets. */
+  void stall() {
+    gate.close();
+  }
+
+  /** Forwards again, after {@link #stall} also what was held back. */
   void mend() {
     cut = false;
+    gate.open();
+  }
+
+  /** Returns whether a connection was forwarded at any time. */
+  boolean wasUsed() {
+    return used;
   }
 
   private void accept() {
@@ -51,6 +67,7 @@
           closeQuietly(incoming);
         } else {
           connect(incoming);
+          used = true;
         }
       } catch (IOException e) {
         // The relay was closed, or the target refuses; the caller sees a closed connection.
@@ -73,7 +90,11 @@
   private void copy(Socket from, Socket to) {
     try (InputStream input = from.getInputStream();
         OutputStream output = to.getOutputStream()) {
-      input.transferTo(output);
+      byte[] bytes = new byte[BUFFER_BYTES];
+      for (int count = input.read(bytes); count >= 0; count = input.read(bytes)) {
+        gate.pass();
+        output.write(bytes, 0, count);
+      }
     } catch (IOException e) {
       // One side closed; the other is closed below.
     } finally {
@@ -95,10 +116,36 @@
   @Override
   public void close() {
     cut();
+    gate.open();
     try {
       server.close();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
+
+  /** Makes threads wait while it is closed. */
+  private static final class Gate {
+    private boolean closed;
+
+    synchronized void close() {
+      closed = true;
+    }
+
+    synchronized void open() {
+      closed = false;
+      notifyAll();
+    }
+
+    synchronized void pass() throws IOException {
+      while (closed) {
+        try {
+          wait();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+          throw new IOException(e);
+        }
+      }
+    }
+  }
 }
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
@@ -39,6 +39,7 @@
   private final List<Relay> relays = new ArrayList<>();
   private final Map<String, String> machines = new LinkedHashMap<>();
   private final Map<String, Path> settings = new LinkedHashMap<>();
+  private final Map<String, List<String>> options = new LinkedHashMap<>();
   private final Map<String, Integer> operatorPorts = new LinkedHashMap<>();
 
   SystemUnderTest() {
@@ -90,18 +91,26 @@
   Relay entryBehindRelay(String name, String domain, String region) {
     Relay relay = new Relay(logPort);
     relays.add(relay);
-    entry(name, domain, region, relay.port());
+    entry(name, domain, region, relay.port(), FreePorts.next());
+    return relay;
+  }
+
+  /** Starts an entry daemon that reaches the log and its peers only through relays. */
+  Relay entryBehindRelays(String name, String domain, String region, PeerRelays peers) {
+    Relay relay = new Relay(logPort);
+    relays.add(relay);
+    options.put(name, List.of(peers.option(name)));
+    entry(name, domain, region, relay.port(), peers.peerPort(name));
     return relay;
   }
 
   void entry(String name, String domain, String region) {
-    entry(name, domain, region, logPort);
+    entry(name, domain, region, logPort, FreePorts.next());
   }
 
-  private void entry(String name, String domain, String region, int logAddress) {
+  private void entry(String name, String domain, String region, int logAddress, int peer) {
     int caller = FreePorts.next();
     int operator = FreePorts.next();
-    int peer = FreePorts.next();
     String yaml =
         """
         deployment: zopfwerk
@@ -162,7 +171,11 @@
     processes.put(
         name,
         ChildProcess.start(
-            folder, name, MAIN, List.of("serve", "--settings", settings.get(name).toString())));
+            folder,
+            name,
+            options.getOrDefault(name, List.of()),
+            MAIN,
+            List.of("serve", "--settings", settings.get(name).toString())));
   }
 
   void awaitReady(String... names) {
