Test callers, operators and the command line over TLS

Cause: certificates were read and used, but no test served over TLS.

Change: ServingOverTlsTest starts a daemon with a certificate that the JDK's keytool makes in the test. It checks whole answers for callers (streamed and collected), an order of an operator, a plain connection to either port, a client that trusts another certificate, and the command line with --ca-file. No fault was found.

--- a/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
@@ -25,7 +25,7 @@
 
   static final String ACCOUNT = "salon";
   static final String KEY = "key-of-salon";
-  private static final String OPERATOR_KEY = "key-of-operator";
+  static final String OPERATOR_KEY = "key-of-operator";
   private static final String STANDIN = "org.cactusseam.standin.StandInMain";
   private static final String MAIN = "org.cactusseam.cli.Main";
   private static final Duration START = Duration.ofSeconds(40);
@@ -39,6 +39,7 @@
   private final List<Relay> relays = new ArrayList<>();
   private final Map<String, String> machines = new LinkedHashMap<>();
   private final Map<String, Path> settings = new LinkedHashMap<>();
+  private final Map<String, String> tls = new LinkedHashMap<>();
   private final Map<String, List<String>> options = new LinkedHashMap<>();
   private final Map<String, Integer> operatorPorts = new LinkedHashMap<>();
 
@@ -104,6 +105,15 @@
     return relay;
   }
 
+  /** Starts an entry daemon that talks to callers and operators over TLS. */
+  void entryWithTls(String name, String domain, String region, TestCertificate certificate) {
+    String files =
+        "{certificate-file: %s, private-key-file: %s}"
+            .formatted(certificate.chainFile(), certificate.keyFile());
+    tls.put(name, "tls: {caller: %s, operator: %s}".formatted(files, files));
+    entry(name, domain, region);
+  }
+
   void entry(String name, String domain, String region) {
     entry(name, domain, region, logPort, FreePorts.next());
   }
@@ -130,8 +140,18 @@
           vm-list-lag: 5s
         logging:
           format: text
+        %s
         """
-            .formatted(name, domain, region, caller, operator, peer, logAddress, listPort);
+            .formatted(
+                name,
+                domain,
+                region,
+                caller,
+                operator,
+                peer,
+                logAddress,
+                listPort,
+                tls.getOrDefault(name, ""));
     Path file = folder.resolve(name + ".yaml");
     try {
       Files.writeString(file, yaml);
@@ -270,6 +290,10 @@
     return processes.get(name);
   }
 
+  int operatorPort(String name) {
+    return operatorPorts.get(name);
+  }
+
   int port(String name) {
     return ports.get(name);
   }
