--- a/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
@@ -25,7 +25,7 @@
 
   static final String ACCOUNT = "salon";
   static final String KEY = "key-of-salon";
-  private static final String OPERATOR_KEY = "key-of-operator";
+  static final String OPERATOR_KEY = "key-of-operator";
   private static final String STANDIN = "org.cactusseam.standin.StandInMain";
   private static final String MAIN = "org.cactusseam.cli.Main";
   private static final Duration START = Duration.ofSeconds(40);
@@ -39,6 +39,8 @@
   private final List<Relay> relays = new ArrayList<>();
   private final Map<String, String> machines = new LinkedHashMap<>();
   private final Map<String, Path> settings = new LinkedHashMap<>();
+  private final Map<String, String> tls = new LinkedHashMap<>();
+  private final Map<String, List<String>> options = new LinkedHashMap<>();
   private final Map<String, Integer> operatorPorts = new LinkedHashMap<>();
 
   SystemUnderTest() {
@@ -90,18 +92,35 @@
   Relay entryBehindRelay(String name, String domain, String region) {
     Relay relay = new Relay(logPort);
     relays.add(relay);
-    entry(name, domain, region, relay.port());
+    entry(name, domain, region, relay.port(), FreePorts.next());
     return relay;
   }
 
+  /** Starts an entry daemon that reaches the log and its peers only through relays. */
+  Relay entryBehindRelays(String name, String domain, String region, PeerRelays peers) {
+    Relay relay = new Relay(logPort);
+    relays.add(relay);
+    options.put(name, List.of(peers.option(name)));
+    entry(name, domain, region, relay.port(), peers.peerPort(name));
+    return relay;
+  }
+
+  /** Starts an entry daemon that talks to callers and operators over TLS. */
+  void entryWithTls(String name, String domain, String region, TestCertificate certificate) {
+    String files =
+        "{certificate-file: %s, private-key-file: %s}"
+            .formatted(certificate.chainFile(), certificate.keyFile());
+    tls.put(name, "tls: {caller: %s, operator: %s}".formatted(files, files));
+    entry(name, domain, region);
+  }
+
   void entry(String name, String domain, String region) {
-    entry(name, domain, region, logPort);
+    entry(name, domain, region, logPort, FreePorts.next());
   }
 
-  private void entry(String name, String domain, String region, int logAddress) {
+  private void entry(String name, String domain, String region, int logAddress, int peer) {
     int caller = FreePorts.next();
     int operator = FreePorts.next();
-    int peer = FreePorts.next();
     String yaml =
         """
         deployment: zopfwerk
@@ -121,8 +140,18 @@
           vm-list-lag: 5s
         logging:
           format: text
+        %s
         """
-            .formatted(name, domain, region, caller, operator, peer, logAddress, listPort);
+            .formatted(
+                name,
+                domain,
+                region,
+                caller,
+                operator,
+                peer,
+                logAddress,
+                listPort,
+                tls.getOrDefault(name, ""));
     Path file = folder.resolve(name + ".yaml");
     try {
       Files.writeString(file, yaml);
@@ -162,7 +191,11 @@
     processes.put(
         name,
         ChildProcess.start(
-            folder, name, MAIN, List.of("serve", "--settings", settings.get(name).toString())));
+            folder,
+            name,
+            options.getOrDefault(name, List.of()),
+            MAIN,
+            List.of("serve", "--settings", settings.get(name).toString())));
   }
 
   void awaitReady(String... names) {
@@ -257,6 +290,10 @@
     return processes.get(name);
   }
 
+  int operatorPort(String name) {
+    return operatorPorts.get(name);
+  }
+
   int port(String name) {
     return ports.get(name);
   }
