Wait for orders that an engine shows as in progress

Cause: the load report of an engine showed only finished orders. After a lost answer the owner took an order that took longer than 5 s for absent and sent it again; an engine that ignores fencing numbers ran it twice. The wait of 5 s was also counted from the time of the question, although the report may be older, and a report of a run before the one that had accepted the order counted as a restart.

Change: /load lists orders_in_progress (order, name, fencing number) and report_age_ms. The executor waits for an order that is in progress, takes the age off the time of the question, learns the run that has the order from the answer or from the list, and sees a restart only in a state from 5 s after the answer. Without a list, an engine that ignores numbers gets no second send after a possible one.

Ruled out: a longer wait in place of 5 s, because the time of an order is not bounded; sending again to an engine without a list, because the order may still run.

The test of a restart after an accepted order is replaced: it sent again on any report of another run, also an older one; the new one gives five rows for run and age of the report.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderExecutor.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderExecutor.java
@@ -18,10 +18,17 @@
  *
  * <p>For each order the node reads the state of the server before anything else. If the state does
  * not show the order, it gets a token, records that it is about to send, reads that record back and
- * sends. After a lost answer it starts again with the state. A server that ignores fencing numbers
- * could still receive an earlier send that a link delayed, so "absent" counts there only if the
- * state was asked {@link #SETTLE} after the last moment at which anyone may have sent; a link that
- * delays a write for longer can make such a server run an order twice.
+ * sends. After a lost answer it starts again with the state. An order that the state shows as in
+ * progress is waited for. A server that ignores fencing numbers could still receive an earlier send
+ * that a link delayed, so "absent" counts there only if the state is from {@link #SETTLE} after the
+ * last moment at which anyone may have sent; a link that delays a write for longer can make such a
+ * server run an order twice. "Absent" of a server that does not list its orders in progress never
+ * counts after a possible send, because it may still work on the order.
+ *
+ * <p>An order in progress ends with the run of the server. If a later run does not show it, it is
+ * sent again. States may be stale: one from before the last send says nothing about it, and the run
+ * that received an order is the one that answered it or showed it, not the one that an earlier
+ * state named.
  *
  * <p>A paused node: its right to send ends {@link #SEND_RIGHT} after it read its record back, and
  * {@link #begin} also needs a valid lease. Its successor takes over only when that lease is over.
@@ -219,34 +226,49 @@
    * Notes the state of a backend server.
    *
    * @param order offset of the order that the state is about
-   * @param askedAt time when the question was sent
+   * @param asOf time before which the state was certainly not taken: when the question was sent,
+   *     less the age that the server states
    * @param incarnation run of the server
    * @param state what it says of the order
    */
-  public void stateRead(long order, Instant askedAt, String incarnation, OrderState state) {
+  public void stateRead(long order, Instant asOf, String incarnation, OrderState state) {
     find(order)
         .filter(job -> job.phase == Phase.CHECKING || job.phase == Phase.WATCHING)
-        .ifPresent(job -> judge(job, askedAt, incarnation, state));
+        .ifPresent(job -> judge(job, asOf, incarnation, state));
     advance();
   }
 
-  private void judge(Job job, Instant askedAt, String incarnation, OrderState state) {
-    if (state == OrderState.DONE) {
-      end(job, OrderOutcome.DONE);
-    } else if (state == OrderState.ABSENT && maySend(job, askedAt, incarnation)) {
-      job.sentTo = Optional.of(incarnation);
-      enter(job, Phase.AWAITING_TOKEN);
+  private void judge(Job job, Instant asOf, String incarnation, OrderState state) {
+    switch (state) {
+      case DONE -> end(job, OrderOutcome.DONE);
+      case IN_PROGRESS -> {
+        if (job.phase == Phase.CHECKING) {
+          watch(job, Optional.of(incarnation));
+        }
+      }
+      case ABSENT, UNLISTED -> {
+        if (maySend(job, asOf, incarnation, state)) {
+          enter(job, Phase.AWAITING_TOKEN);
+        }
+      }
     }
   }
 
+  /** Waits for the result of an order that a run of the server has. */
+  private void watch(Job job, Optional<String> incarnation) {
+    job.sentTo = incarnation;
+    enter(job, Phase.WATCHING);
+  }
+
   /** Tells whether an order that the state does not show is certainly not under way. */
-  private boolean maySend(Job job, Instant askedAt, String incarnation) {
-    boolean restarted = job.sentTo.isPresent() && !job.sentTo.get().equals(incarnation);
+  private boolean maySend(Job job, Instant asOf, String incarnation, OrderState state) {
+    boolean settled = !asOf.isBefore(job.maySentUntil.plus(SETTLE));
     if (job.phase == Phase.WATCHING) {
-      return restarted;
+      boolean restarted = job.sentTo.isPresent() && !job.sentTo.get().equals(incarnation);
+      return restarted && settled;
     }
-    boolean settled = !askedAt.isBefore(job.maySentUntil.plus(SETTLE));
-    return !job.everSent || settled || checksFencing(job);
+    boolean listed = state == OrderState.ABSENT;
+    return !job.everSent || checksFencing(job) || (settled && listed);
   }
 
   private boolean checksFencing(Job job) {
@@ -314,12 +336,17 @@
    *
    * @param order offset of the order
    * @param answer answer
+   * @param incarnation run of the server that answered; without it a restart is not noticed, and
+   *     the order fails when its time is over
    */
-  public void answered(long order, OrderAnswer answer) {
+  public void answered(long order, OrderAnswer answer, Optional<String> incarnation) {
     Optional<Job> sent = find(order).filter(job -> job.phase == Phase.SENT);
     if (sent.isPresent()) {
       switch (answer) {
-        case ACCEPTED -> enter(sent.get(), Phase.WATCHING);
+        case ACCEPTED -> {
+          sent.get().maySentUntil = clock.instant();
+          watch(sent.get(), incarnation);
+        }
         case REFUSED -> end(sent.get(), OrderOutcome.REFUSED);
         default -> end(sent.get(), OrderOutcome.SUPERSEDED);
       }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderExecutorTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderExecutorTest.java
@@ -4,7 +4,6 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
-import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -147,19 +146,60 @@
     assertThat(announced, is(expected));
   }
 
-  @Test
-  void a_restart_of_the_server_after_it_accepted_leads_to_another_send() {
+  private boolean asksForToken() {
+    return executor.drain().stream().anyMatch(OrderAction.AskToken.class::isInstance);
+  }
+
+  /** A state that is older than the answer can name a run before the one that answered. */
+  @ParameterizedTest(name = "state of {0} from {1} ms after the answer: sent again {2}")
+  @CsvSource({
+    "run, 0, false",
+    "run, 60000, false",
+    "next run, -1, false",
+    "next run, 4999, false",
+    "next run, 5000, true"
+  })
+  void an_accepted_order_is_sent_again_only_after_a_restart_of_the_run_that_accepted_it(
+      String incarnation, long millis, boolean expected) {
     reachSend();
     executor.begin(7, true);
-    executor.answered(7, OrderAnswer.ACCEPTED);
+    executor.answered(7, OrderAnswer.ACCEPTED, Optional.of("run"));
     executor.drain();
-    executor.stateRead(7, clock.instant(), "run", OrderState.ABSENT);
-    assertThat(
-        executor.drain().stream().noneMatch(OrderAction.AskToken.class::isInstance), is(true));
 
-    executor.stateRead(7, clock.instant(), "next run", OrderState.ABSENT);
+    executor.stateRead(7, clock.instant().plusMillis(millis), incarnation, OrderState.ABSENT);
+
+    assertThat(asksForToken(), is(expected));
+  }
+
+  @ParameterizedTest(name = "state of {0}: sent again {1}")
+  @CsvSource({"run, false", "next run, true"})
+  void an_order_in_progress_is_waited_for_unless_the_server_restarts(
+      String incarnation, boolean expected) {
+    reachSend();
+    executor.begin(7, true);
+    executor.answerLost(7);
+    Instant later = clock.instant().plusSeconds(60);
+    executor.stateRead(7, clock.instant(), "run", OrderState.IN_PROGRESS);
+    executor.drain();
+
+    executor.stateRead(7, later, incarnation, OrderState.ABSENT);
+
+    assertThat(asksForToken(), is(expected));
+  }
+
+  @ParameterizedTest(name = "fencing {0}, possibly sent {1}: sent {2}")
+  @CsvSource({"false, true, false", "true, true, true", "false, false, true"})
+  void an_order_is_not_sent_again_to_a_server_that_may_work_on_it_unseen(
+      boolean fencing, boolean started, boolean expected) {
+    if (started) {
+      apply(new OrderRecord.Started(7, node, "earlier boot", 1));
+    }
+    executor.ordersChanged(book);
+    executor.own(SERVER, fencing);
+
+    executor.stateRead(7, clock.instant().plusSeconds(60), "run", OrderState.UNLISTED);
 
-    assertThat(executor.drain(), contains(instanceOf(OrderAction.AskToken.class)));
+    assertThat(asksForToken(), is(expected));
   }
 
   @Test
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderFleet.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderFleet.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.cactusseam.model.BackendServerName;
@@ -26,6 +27,8 @@
     DELAYED_ORDER,
     SERVER_REFUSES,
     SERVER_RESTARTS,
+    SLOW_ORDER,
+    STALE_REPORT,
     LOST_APPEND,
     LATE_APPEND,
     LOG_OUTAGE,
@@ -40,8 +43,14 @@
   private static final Duration TAKEOVER_WAIT = Duration.ofMillis(4_500);
   private static final BackendServerName SERVER = new BackendServerName("engine");
 
+  /** Longer than an owner waits before it may send again. */
+  private static final Duration SLOW = Duration.ofSeconds(8);
+
   private record Event(Instant at, int owner, Runnable effect) {}
 
+  /** What the server would report from a time on. */
+  private record Report(Instant since, String incarnation, Map<Long, Instant> doneAt) {}
+
   final PausedClock clock = new PausedClock(Instant.parse("2026-03-01T10:00:00Z"));
   final List<String> violations = new ArrayList<>();
   final Map<Long, Integer> effects = new HashMap<>();
@@ -53,6 +62,8 @@
   private final List<Event> events = new ArrayList<>();
   private final Set<Fault> spent = new HashSet<>();
   private final Map<Long, Instant> doneAt = new HashMap<>();
+  private final List<Report> reports = new ArrayList<>();
+  private final Duration reportAge;
   private final OrderExecutor[] executors = new OrderExecutor[2];
   private final Instant[] pausedUntil = {Instant.MIN, Instant.MIN};
   private final StoreRateLimiter limiter = new StoreRateLimiter(clock, INTERVAL);
@@ -68,6 +79,8 @@
     this.faults = new HashSet<>(faults);
     this.checksFencing = checksFencing;
     this.random = new Random(seed * 0x9E3779B97F4A7C15L);
+    this.reportAge = Duration.ofMillis(500 + random.nextInt(5000));
+    noteReport();
     limiter.hold(true);
     restart(0);
     restart(1);
@@ -119,6 +132,7 @@
     if (random.nextInt(100) == 0 && strikes(Fault.SERVER_RESTARTS)) {
       incarnation++;
       doneAt.clear();
+      noteReport();
     }
     if (random.nextInt(100) == 0 && strikes(Fault.TAKEOVER)) {
       takeOver();
@@ -178,20 +192,40 @@
     }
   }
 
+  private void noteReport() {
+    reports.add(new Report(clock.instant(), "run" + incarnation, Map.copyOf(doneAt)));
+  }
+
   private void readState(int index, OrderExecutor executor, OrderAction.ReadState read) {
     Instant askedAt = clock.instant();
     after(
         index,
         50,
-        () -> executor.stateRead(read.order(), askedAt, "run" + incarnation, state(read.order())));
+        () -> {
+          Duration age = faults.contains(Fault.STALE_REPORT) ? reportAge : Duration.ZERO;
+          Instant takenAt = clock.instant().minus(age);
+          Report report = reportAt(takenAt);
+          executor.stateRead(
+              read.order(),
+              askedAt.minus(age),
+              report.incarnation,
+              state(report, read.order(), takenAt));
+        });
+  }
+
+  private Report reportAt(Instant time) {
+    return reports.reversed().stream()
+        .filter(report -> !report.since.isAfter(time))
+        .findFirst()
+        .orElse(reports.getFirst());
   }
 
-  private OrderState state(long order) {
-    Instant done = doneAt.get(order);
+  private static OrderState state(Report report, long order, Instant takenAt) {
+    Instant done = report.doneAt.get(order);
     if (done == null) {
       return OrderState.ABSENT;
     }
-    return clock.instant().isBefore(done) ? OrderState.IN_PROGRESS : OrderState.DONE;
+    return takenAt.isBefore(done) ? OrderState.IN_PROGRESS : OrderState.DONE;
   }
 
   private void append(OrderRecord orderRecord) {
@@ -242,7 +276,7 @@
     if (hits(Fault.LOST_ANSWER)) {
       after(index, 1000, () -> executor.answerLost(order));
     } else {
-      after(index, 10, () -> executor.answered(order, answer));
+      after(index, 10, () -> executor.answered(order, answer, Optional.of(target)));
     }
     if (strikes(Fault.OWNER_KILLED)) {
       restart(index);
@@ -262,7 +296,9 @@
     }
     highestNumber = order;
     check(!doneAt.containsKey(order), "executed twice by one run of the server: " + order);
-    doneAt.put(order, clock.instant().plusSeconds(2));
+    Duration time = faults.contains(Fault.SLOW_ORDER) ? SLOW : Duration.ofSeconds(2);
+    doneAt.put(order, clock.instant().plus(time));
+    noteReport();
     effects.merge(order, 1, Integer::sum);
     return OrderAnswer.ACCEPTED;
   }
@@ -283,7 +319,7 @@
 
   boolean isDoneTrue() {
     return book.entries().stream()
-        .filter(entry -> entry.outcome().equals(java.util.Optional.of(OrderOutcome.DONE)))
+        .filter(entry -> entry.outcome().equals(Optional.of(OrderOutcome.DONE)))
         .allMatch(entry -> effects.containsKey(entry.offset()));
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/OrderClient.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/OrderClient.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import org.cactusseam.logic.orders.OrderAnswer;
 import org.cactusseam.logic.orders.OrderState;
 import org.cactusseam.model.BackendServer;
+import org.cactusseam.model.admission.BackendCondition;
 import org.cactusseam.model.control.ServerOrder;
 import org.jspecify.annotations.Nullable;
 
@@ -37,14 +39,29 @@
 
   private record Body(String order, String name, @JsonProperty("fencing_number") long number) {}
 
+  private record InProgress(@JsonProperty(value = "fencing_number", required = true) long number) {}
+
   private record Report(
       String incarnation,
       @Nullable String role,
       @Nullable List<String> models,
       @Nullable List<String> adapters,
-      @Nullable List<String> versions) {
+      @Nullable List<String> versions,
+      @JsonProperty("orders_in_progress") @Nullable List<InProgress> inProgress,
+      @JsonProperty("report_age_ms") long ageMillis) {
+
+    OrderState stateOf(ServerOrder order, long number) {
+      if (shows(order)) {
+        return OrderState.DONE;
+      }
+      if (inProgress == null) {
+        return OrderState.UNLISTED;
+      }
+      boolean listed = inProgress.stream().anyMatch(each -> each.number() == number);
+      return listed ? OrderState.IN_PROGRESS : OrderState.ABSENT;
+    }
 
-    boolean shows(ServerOrder order) {
+    private boolean shows(ServerOrder order) {
       return switch (order.kind()) {
         case LOAD_MODEL -> holds(models, order);
         case LOAD_ADAPTER -> holds(adapters, order);
@@ -62,9 +79,18 @@
    * What an engine shows of an order.
    *
    * @param incarnation run of the engine
-   * @param state whether it shows the result
+   * @param state whether it shows the result or works on it
+   * @param age age of the report, as the engine states it; zero if it states none
+   */
+  public record Reading(String incarnation, OrderState state, Duration age) {}
+
+  /**
+   * What an engine answered to an order.
+   *
+   * @param answer answer
+   * @param incarnation run of the engine, if it states it
    */
-  public record Reading(String incarnation, OrderState state) {}
+  public record Reply(OrderAnswer answer, Optional<String> incarnation) {}
 
   /**
    * Creates a client.
@@ -88,23 +114,25 @@
   }
 
   /**
-   * Reads whether an engine shows the result of an order.
+   * Reads whether an engine shows the result of an order or works on it.
    *
    * @param server engine
    * @param order order
+   * @param fencingNumber offset of the order
    * @return what it shows; fails if it does not answer in time
    */
-  public Future<Reading> read(BackendServer server, ServerOrder order) {
+  public Future<Reading> read(BackendServer server, ServerOrder order, long fencingNumber) {
     return client
         .request(options(server, HttpMethod.GET, "/load"))
         .compose(HttpClientRequest::send)
         .compose(OrderClient::body)
         .map(body -> Json.read(body.toString(), Report.class).get())
-        .map(report -> new Reading(report.incarnation(), state(report, order)));
-  }
-
-  private static OrderState state(Report report, ServerOrder order) {
-    return report.shows(order) ? OrderState.DONE : OrderState.ABSENT;
+        .map(
+            report ->
+                new Reading(
+                    report.incarnation(),
+                    report.stateOf(order, fencingNumber),
+                    Duration.ofMillis(Math.max(0, report.ageMillis()))));
   }
 
   private static Future<Buffer> body(HttpClientResponse response) {
@@ -123,7 +151,7 @@
    *     is written if it answers false
    * @return the answer, or empty if nothing was written; fails if the answer is lost
    */
-  public Future<Optional<OrderAnswer>> send(
+  public Future<Optional<Reply>> send(
       BackendServer server, ServerOrder order, long fencingNumber, BooleanSupplier begin) {
     String kind = order.kind().name().toLowerCase(Locale.ROOT);
     Buffer body = Buffer.buffer(Json.write(new Body(kind, order.name(), fencingNumber)));
@@ -132,7 +160,7 @@
         .compose(request -> write(request, body, begin));
   }
 
-  private static Future<Optional<OrderAnswer>> write(
+  private static Future<Optional<Reply>> write(
       HttpClientRequest request, Buffer body, BooleanSupplier begin) {
     if (!begin.getAsBoolean()) {
       return request.reset().transform(ignored -> Future.succeededFuture(Optional.empty()));
@@ -144,16 +172,22 @@
   }
 
   /** An error inside the engine does not tell whether the order takes effect. */
-  private static Future<Optional<OrderAnswer>> answer(HttpClientResponse response) {
+  private static Future<Optional<Reply>> answer(HttpClientResponse response) {
     int status = response.statusCode();
     if (status == STATUS_OK) {
-      return Future.succeededFuture(Optional.of(OrderAnswer.ACCEPTED));
+      return reply(response, OrderAnswer.ACCEPTED);
     }
     if (status == STATUS_CONFLICT) {
-      return Future.succeededFuture(Optional.of(OrderAnswer.STALE_NUMBER));
+      return reply(response, OrderAnswer.STALE_NUMBER);
     }
     return status >= STATUS_BAD_REQUEST && status < STATUS_SERVER_ERROR
-        ? Future.succeededFuture(Optional.of(OrderAnswer.REFUSED))
+        ? reply(response, OrderAnswer.REFUSED)
         : Future.failedFuture("order answered with status " + status);
   }
+
+  private static Future<Optional<Reply>> reply(HttpClientResponse response, OrderAnswer answer) {
+    Optional<String> incarnation =
+        Headers.condition(response.headers()).map(BackendCondition::incarnation);
+    return Future.succeededFuture(Optional.of(new Reply(answer, incarnation)));
+  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
@@ -15,7 +15,6 @@
 import org.cactusseam.logic.control.ControlState;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.orders.OrderAction;
-import org.cactusseam.logic.orders.OrderAnswer;
 import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.logic.orders.OrderExecutor;
 import org.cactusseam.model.BackendKind;
@@ -137,10 +136,11 @@
     }
     Instant askedAt = clock.instant();
     client
-        .read(target.server(), read.what())
+        .read(target.server(), read.what(), read.order())
         .onSuccess(
             reading -> {
-              executor.stateRead(read.order(), askedAt, reading.incarnation(), reading.state());
+              Instant asOf = askedAt.minus(reading.age());
+              executor.stateRead(read.order(), asOf, reading.incarnation(), reading.state());
               perform();
             });
   }
@@ -160,13 +160,13 @@
         .onFailure(cause -> lost(send, cause));
   }
 
-  private void answered(OrderAction.Send send, OrderAnswer answer) {
+  private void answered(OrderAction.Send send, OrderClient.Reply reply) {
     LOG.info(
         "order_answered",
         field("order", send.order()),
         field("server", send.server()),
-        field("answer", answer));
-    executor.answered(send.order(), answer);
+        field("answer", reply.answer()));
+    executor.answered(send.order(), reply.answer(), reply.incarnation());
     perform();
   }
 
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/backend/OrderClientTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/backend/OrderClientTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -79,7 +80,7 @@
         join(
             client
                 .send(engine, ORDER, 17, () -> true)
-                .map(found -> found.map(OrderAnswer::name).orElse("NOT_SENT"))
+                .map(found -> found.map(reply -> reply.answer().name()).orElse("NOT_SENT"))
                 .otherwise("LOST"));
 
     assertThat(answer, is(expected));
@@ -96,23 +97,50 @@
     assertThat(received, is(List.of()));
   }
 
+  @Test
+  void an_answer_names_the_run_that_gave_it() {
+    BackendServer engine =
+        engine(
+            request -> {
+              request.response().putHeader(Headers.INCARNATION, "i2");
+              record(request, 200);
+            });
+
+    assertThat(
+        join(client.send(engine, ORDER, 17, () -> true)),
+        is(Optional.of(new OrderClient.Reply(OrderAnswer.ACCEPTED, Optional.of("i2")))));
+  }
+
   @ParameterizedTest(name = "{0} {1}")
   @CsvSource(
       delimiter = ';',
       value = {
-        "LOAD_ADAPTER; {\"incarnation\":\"i1\",\"adapters\":[\"a1\"]}; DONE",
-        "LOAD_ADAPTER; {\"incarnation\":\"i1\",\"models\":[\"a1\"]}; ABSENT",
-        "LOAD_MODEL; {\"incarnation\":\"i1\",\"models\":[\"a1\"]}; DONE",
-        "LOAD_VERSION; {\"incarnation\":\"i1\",\"versions\":[\"a1\"]}; DONE",
-        "CHANGE_ROLE; {\"incarnation\":\"i1\",\"role\":\"a1\"}; DONE",
-        "CHANGE_ROLE; {\"incarnation\":\"i1\"}; ABSENT"
+        "LOAD_ADAPTER; \"adapters\":[\"a1\"]; DONE",
+        "LOAD_ADAPTER; \"models\":[\"a1\"],\"orders_in_progress\":[]; ABSENT",
+        "LOAD_ADAPTER; \"models\":[\"a1\"]; UNLISTED",
+        "LOAD_ADAPTER; \"orders_in_progress\":[{\"fencing_number\":17}]; IN_PROGRESS",
+        "LOAD_ADAPTER; \"orders_in_progress\":[{\"fencing_number\":16}]; ABSENT",
+        "LOAD_MODEL; \"models\":[\"a1\"]; DONE",
+        "LOAD_VERSION; \"versions\":[\"a1\"]; DONE",
+        "CHANGE_ROLE; \"role\":\"a1\"; DONE",
+        "CHANGE_ROLE; \"orders_in_progress\":[]; ABSENT"
       })
   void the_state_of_an_engine_shows_whether_an_order_took_effect(
-      ServerOrder.Kind kind, String report, OrderState expected) {
+      ServerOrder.Kind kind, String members, OrderState expected) {
+    String report = "{\"incarnation\":\"i1\"," + members + "}";
     BackendServer engine = engine(request -> request.response().end(report));
 
-    OrderClient.Reading reading = join(client.read(engine, new ServerOrder(kind, "a1")));
+    OrderClient.Reading reading = join(client.read(engine, new ServerOrder(kind, "a1"), 17));
+
+    assertThat(reading, is(new OrderClient.Reading("i1", expected, Duration.ZERO)));
+  }
+
+  @ParameterizedTest(name = "stated age {0} ms")
+  @CsvSource({"0, 0", "1500, 1500", "-1, 0"})
+  void the_age_of_a_report_is_taken_over(long stated, long expected) {
+    String report = "{\"incarnation\":\"i1\",\"report_age_ms\":" + stated + "}";
+    BackendServer engine = engine(request -> request.response().end(report));
 
-    assertThat(reading, is(new OrderClient.Reading("i1", expected)));
+    assertThat(join(client.read(engine, ORDER, 17)).age(), is(Duration.ofMillis(expected)));
   }
 }
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/EngineStandIn.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/EngineStandIn.java
@@ -214,7 +214,7 @@
   private void order(RoutingContext context) {
     condition().writeTo(context.response());
     Orders.Order order = Json.toValue(Json.parseObject(bodyText(context)), Orders.Order.class);
-    Orders.Kind kind = Orders.Kind.parse(order.order());
+    Orders.Kind.parse(order.order());
     boolean checked = !faults.current().ignoreFencing();
     boolean repeated = orderFencing.isRepeated(order.fencingNumber());
     if (orderFencing.isStale(order.fencingNumber()) && checked) {
@@ -224,8 +224,8 @@
     }
     boolean applies = !(repeated && checked);
     if (applies) {
-      int incarnation = driver.model().incarnation();
-      after(options.orderMs(), () -> applyOrder(kind, order.name(), incarnation));
+      int handle = orders.begin(order);
+      after(options.orderMs(), () -> orders.finish(handle));
     }
     if (faults.consume("lose_order_answers", EngineFaults::loseOrderAnswers)) {
       context.response().reset();
@@ -234,18 +234,12 @@
     reply(context, 200, Json.object().put("applied", applies));
   }
 
-  private void applyOrder(Orders.Kind kind, String name, int incarnation) {
-    if (driver.model().incarnation() == incarnation && !driver.model().isDown()) {
-      orders.apply(kind, name);
-    }
-  }
-
   private void showLoad(RoutingContext context) {
     driver.run();
     condition().writeTo(context.response());
     long lagMs = faults.current().loadLagMs();
     ObjectNode current = loadReport();
-    reply(context, 200, lagMs == 0 ? current : loadHistory.at(clock.millis() - lagMs, current));
+    reply(context, 200, lagMs == 0 ? current : loadHistory.at(clock.millis(), lagMs, current));
   }
 
   private void showCacheEvents(RoutingContext context) {
@@ -346,7 +340,8 @@
             .put("waiting", model.waiting())
             .put("memory_used_tokens", model.memoryUsedTokens())
             .put("memory_total_tokens", options.memoryTokens())
-            .put("preemptions", model.preemptions());
+            .put("preemptions", model.preemptions())
+            .put("report_age_ms", 0);
     orders.addTo(report);
     return report;
   }
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/LoadHistory.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/LoadHistory.java
@@ -21,16 +21,19 @@
     }
   }
 
-  /** Returns the newest report of a time or before, or the oldest one that is known. */
-  ObjectNode at(long timeMs, ObjectNode current) {
-    ObjectNode found = entries.isEmpty() ? current : entries.getFirst().report;
+  /**
+   * Returns the newest report that has an age or is older, or the oldest one that is known, with
+   * its age.
+   */
+  ObjectNode at(long nowMs, long ageMs, ObjectNode current) {
+    Entry found = entries.isEmpty() ? new Entry(nowMs, current) : entries.getFirst();
     for (Entry entry : entries) {
-      if (entry.atMs > timeMs) {
+      if (entry.atMs > nowMs - ageMs) {
         break;
       }
-      found = entry.report;
+      found = entry;
     }
-    return found;
+    return found.report.deepCopy().put("report_age_ms", nowMs - found.atMs);
   }
 
   void clear() {
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/Orders.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/engine/Orders.java
@@ -1,11 +1,14 @@
 package org.cactusseam.standin.engine;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.cactusseam.standin.InvalidInputException;
@@ -17,7 +20,9 @@
   private final Set<String> models = new LinkedHashSet<>();
   private final Set<String> adapters = new LinkedHashSet<>();
   private final Set<String> versions = new LinkedHashSet<>();
+  private final Map<Integer, Order> inProgress = new LinkedHashMap<>();
   private String role;
+  private int accepted;
   private int applied;
 
   /** Kinds of orders, named as in the protocol. */
@@ -57,13 +62,26 @@
     adapters.clear();
     versions.clear();
     role = options.role();
+    inProgress.clear();
   }
 
   boolean serves(String model) {
     return options.modelNames().isEmpty() || models.contains(model);
   }
 
-  void apply(Kind kind, String name) {
+  /** Begins to work on an order and returns a handle for {@link #finish}. */
+  int begin(Order order) {
+    inProgress.put(++accepted, order);
+    return accepted;
+  }
+
+  /** Ends the work on an order; its effect shows at the same moment. A cleared one has none. */
+  void finish(int handle) {
+    Optional<Order> order = Optional.ofNullable(inProgress.remove(handle));
+    order.ifPresent(found -> apply(Kind.parse(found.order()), found.name()));
+  }
+
+  private void apply(Kind kind, String name) {
     applied++;
     Optional<Set<String>> names = namesOf(kind);
     if (names.isPresent()) {
@@ -87,9 +105,19 @@
     addNames(report, "models", models);
     addNames(report, "adapters", adapters);
     addNames(report, "versions", versions);
+    ArrayNode working = report.putArray("orders_in_progress");
+    inProgress.values().forEach(order -> addOrder(working, order));
     report.put("orders_applied", applied);
   }
 
+  private static void addOrder(ArrayNode orders, Order order) {
+    orders
+        .addObject()
+        .put("order", order.order())
+        .put("name", order.name())
+        .put("fencing_number", order.fencingNumber());
+  }
+
   private static void addNames(ObjectNode report, String member, Set<String> names) {
     List<String> ordered = new ArrayList<>(names);
     ordered.forEach(report.putArray(member)::add);
--- a/cactusseam-standins/src/test/java/org/cactusseam/standin/engine/EngineContractTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/standin/engine/EngineContractTest.java
@@ -254,6 +254,7 @@
       String expected =
           "{\"incarnation\":\"%s\",\"state\":\"warm\",\"running\":0,\"waiting\":0,"
               + "\"memory_used_tokens\":0,\"memory_total_tokens\":77,\"preemptions\":0,"
+              + "\"report_age_ms\":0,\"orders_in_progress\":[],"
               + "\"role\":\"serve\",\"models\":[\"a\",\"b\"],\"adapters\":[],\"versions\":[],"
               + "\"orders_applied\":0}";
       String incarnation = report.get("incarnation").asText();
@@ -284,6 +285,20 @@
     }
   }
 
+  @Test
+  void an_order_in_progress_is_in_the_load_report_until_its_effect_shows() {
+    try (StandInFixture fixture = start("{\"order_ms\":300}")) {
+      order(fixture, "load_model", "x", 5);
+
+      String expected = "[{\"order\":\"load_model\",\"name\":\"x\",\"fencing_number\":5}]";
+      JsonNode report = fixture.get("/load").json();
+      assertThat(report.get("orders_in_progress"), is(StandInFixture.parse(expected)));
+      assertThat(report.get("models"), is(StandInFixture.parse("[]")));
+      StandInFixture.await(() -> fixture.get("/load").json().get("orders_in_progress").isEmpty());
+      assertThat(fixture.get("/load").json().get("models"), is(StandInFixture.parse("[\"x\"]")));
+    }
+  }
+
   @Test
   void cache_events_are_numbered_and_can_be_read_from_a_number() {
     try (StandInFixture fixture = start("{\"block_tokens\":1,\"cache_blocks\":2}")) {
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
@@ -31,6 +31,7 @@
   void start() {
     system.engine("checked", "--order-ms", "1500");
     system.engine("ignored", "--order-ms", "1500", "--ignore-fencing", "true");
+    system.engine("slow", "--order-ms", "8000", "--ignore-fencing", "true");
     system.plainService("app-1");
     system.entry("entry-1", "ost-wien", "ost");
     system.entry("entry-2", "ost-graz", "ost");
@@ -38,6 +39,7 @@
     system.declareBasics("entry-1");
     system.declareEngine("entry-1", "checked", "ost-wien", "checked", 2, 8);
     system.declareEngine("entry-1", "ignored", "ost-graz", "ignored", 2, 8);
+    system.declareEngine("entry-1", "slow", "ost-graz", "ignored", 2, 8);
     system.declarePlain("entry-1", "app-1", "ost-wien");
   }
 
@@ -83,6 +85,22 @@
     assertThat(applied(engine), is(before + 1));
   }
 
+  /** The engine takes longer than an owner waits before it may send again. */
+  @ParameterizedTest(name = "reports of the engine are {0} ms old")
+  @ValueSource(longs = {0, 3_000})
+  void an_order_in_progress_is_not_sent_again_after_a_lost_answer(long lagMillis) {
+    long before = applied("slow");
+    String id = UUID.randomUUID().toString();
+    system.fault("slow", "{\"lose_order_answers\":1,\"load_lag_ms\":" + lagMillis + "}");
+
+    String command = "load version \"age-" + lagMillis + "\" on server slow";
+    assertThat(system.command("entry-1", command, id), startsWith("ACCEPTED"));
+    awaitState("entry-2", id, "done");
+    Eventually.pause(SECOND_SEND);
+    system.fault("slow", "{\"load_lag_ms\":0}");
+    assertThat(applied("slow"), is(before + 1));
+  }
+
   @ParameterizedTest(name = "engine with fencing {0}, owner killed when the order is {1}")
   @CsvSource({"checked, recorded", "checked, started", "ignored, recorded", "ignored, started"})
   void an_order_runs_once_although_its_owner_is_killed(String engine, String state) {
