End orders to removed servers and name orders that are no longer kept

Cause: the owner of an order to a removed server lost its target, so the order stayed "recorded" or "started" forever, and would have been sent to a later server of the same name. An order that the book had dropped was not found by "show command" and was taken for a configuration change.

Change: the record that removes a server ends its open orders with their own outcomes, which every node computes alike. An order that may be under way is followed by the owner that sent it, without another send, and a result that it sees replaces the outcome. An order recorded after the removal is rejected.

Ruled out: leaving a started order open after the removal, because a new owner has no address for it, and a server that is created again under the same name would get it. Keeping more orders, because the bound would only move.

Seen failing on the code before, with EngineOrdersTest: the order to the removed server had not ended when the test was stopped after 60 s; the dropped order was answered as "RECORDED_WAITING recorded as revision 15".

After: both pass, with OrderExecutorTest, ServerOrdersTest, SnapshotTest and ControlStateTest and the linters (one run of 2 min 24 s).

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
@@ -10,6 +10,7 @@
 import java.util.function.ToIntFunction;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.orders.OrderBook;
+import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ObjectKey;
@@ -42,8 +43,10 @@
    * @param offset offset of its record
    * @param recordedAtMillis time of the record, as the log states it
    * @param verdict decision
+   * @param serverOrder whether it is an order to a backend server; otherwise it changes the
+   *     configuration
    */
-  record Command(long offset, long recordedAtMillis, Verdict verdict) {}
+  record Command(long offset, long recordedAtMillis, Verdict verdict, boolean serverOrder) {}
 
   /**
    * The newest ended run of a node.
@@ -120,15 +123,22 @@
     if (order instanceof OrderRecord.Issued issued && commands.containsKey(issued.commandId())) {
       return Verdict.DUPLICATE;
     }
-    Optional<OrderBook> next = orders.apply(offset, order);
+    Optional<OrderBook> next =
+        orders.apply(offset, order).filter(applied -> !isToMissingServer(order));
     Verdict verdict = next.isPresent() ? Verdict.ACCEPTED : Verdict.INVALID;
     if (order instanceof OrderRecord.Issued issued) {
-      commands.put(issued.commandId(), new Command(offset, logTimeMillis, verdict));
+      commands.put(issued.commandId(), new Command(offset, logTimeMillis, verdict, true));
     }
     orders = next.orElse(orders);
     return verdict;
   }
 
+  /** A server can be removed between the operator's command and its record. */
+  private boolean isToMissingServer(OrderRecord order) {
+    return order instanceof OrderRecord.Issued issued
+        && configuration.server(issued.server()).isEmpty();
+  }
+
   /** Entries are in the order of their times, so the expired ones come first. */
   private void expire() {
     long commandLimit = logTimeMillis - retentionMillis;
@@ -160,7 +170,7 @@
         expectedRevision(change.key()) == change.expectedRevision()
             ? ReferenceCheck.judge(configuration, change)
             : Verdict.CONFLICT;
-    commands.put(change.commandId(), new Command(offset, logTimeMillis, verdict));
+    commands.put(change.commandId(), new Command(offset, logTimeMillis, verdict, false));
     if (verdict == Verdict.ACCEPTED) {
       change(offset, change);
     }
@@ -175,6 +185,9 @@
     } else {
       configuration = configuration.without(change.key(), offset);
       tombstones.put(change.key(), logTimeMillis);
+      if (change.key().kind() == ObjectKind.BACKEND_SERVER) {
+        orders = orders.serverRemoved(new BackendServerName(change.key().name()));
+      }
     }
     if (change.key().kind() == ObjectKind.BACKEND_SERVER && !existed) {
       owners = owners.updated(shards(), membership, membership, offset);
@@ -299,6 +312,17 @@
     return Optional.ofNullable(commands.get(commandId)).map(Command::offset);
   }
 
+  /**
+   * Tells whether an operator's command is an order to a backend server. The command is remembered
+   * for longer than the order, of which {@link #orders()} keeps a bounded number.
+   *
+   * @param commandId identity of the command
+   * @return true if it is one; false for changes of the configuration and unknown commands
+   */
+  public boolean isServerOrder(String commandId) {
+    return Optional.ofNullable(commands.get(commandId)).filter(Command::serverOrder).isPresent();
+  }
+
   /**
    * Returns the revision that a change of an object must expect now. For a removed object it is the
    * offset of the removal while the tombstone is kept, so that a late copy of the command that
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
@@ -89,7 +89,8 @@
                     id,
                     command.offset(),
                     command.recordedAtMillis(),
-                    SnapshotEntry.Outcome.valueOf(command.verdict().name()))));
+                    SnapshotEntry.Outcome.valueOf(command.verdict().name()),
+                    command.serverOrder())));
     membership
         .entries()
         .forEach(
@@ -148,7 +149,8 @@
                 new ControlState.Command(
                     command.offset(),
                     command.recordedAtMillis(),
-                    Verdict.valueOf(command.outcome().name())));
+                    Verdict.valueOf(command.outcome().name()),
+                    command.serverOrder()));
         case SnapshotEntry.Run run ->
             members.add(new Membership.Entry(run.member(), run.joinedAt(), run.standing()));
         case SnapshotEntry.EndedRun run ->
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderBook.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderBook.java
@@ -73,6 +73,16 @@
           outcome);
     }
 
+    /**
+     * Tells whether the server was removed when the order may have been under way, so that only its
+     * result is still of interest.
+     *
+     * @return true if a later end replaces the outcome
+     */
+    public boolean isFollowed() {
+      return outcome.equals(Optional.of(OrderOutcome.SERVER_REMOVED_AFTER_START));
+    }
+
     Entry withStart(Start newStart) {
       return new Entry(offset, commandId, server, order, Optional.of(newStart), outcome);
     }
@@ -112,10 +122,36 @@
         yield findOpen(started.order()).map(entry -> replace(entry.withStart(start)));
       }
       case OrderRecord.Ended ended ->
-          findOpen(ended.order()).map(entry -> replace(entry.withOutcome(ended.outcome())));
+          find(ended.order())
+              .filter(entry -> entry.outcome().isEmpty() || entry.isFollowed())
+              .map(entry -> replace(entry.withOutcome(ended.outcome())));
     };
   }
 
+  /**
+   * Ends the open orders to a server that was removed, so that none stays open forever and none
+   * reaches a later server of the same name.
+   *
+   * @param server removed server
+   * @return the next view
+   */
+  public OrderBook serverRemoved(BackendServerName server) {
+    return new OrderBook(
+        entries.stream()
+            .map(
+                entry ->
+                    entry.server().equals(server) && entry.outcome().isEmpty()
+                        ? entry.withOutcome(outcomeOfRemoval(entry))
+                        : entry)
+            .toList());
+  }
+
+  private static OrderOutcome outcomeOfRemoval(Entry entry) {
+    return entry.start().isPresent()
+        ? OrderOutcome.SERVER_REMOVED_AFTER_START
+        : OrderOutcome.SERVER_REMOVED;
+  }
+
   private Optional<OrderBook> issue(long offset, OrderRecord.Issued issued) {
     List<Entry> copy = new ArrayList<>(entries);
     if (copy.size() >= MAXIMUM_ENTRIES) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderExecutor.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderExecutor.java
@@ -4,10 +4,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.control.OrderOutcome;
@@ -33,6 +37,9 @@
  * <p>A paused node: its right to send ends {@link #SEND_RIGHT} after it read its record back, and
  * {@link #begin} also needs a valid lease. Its successor takes over only when that lease is over.
  *
+ * <p>When a server is removed, the log ends its orders. An order that may be under way is followed
+ * without being sent again, so that its result still shows; see {@link OrderBook#serverRemoved}.
+ *
  * <p>Not thread-safe; owned by the control thread.
  */
 public final class OrderExecutor {
@@ -64,6 +71,9 @@
     ENDING
   }
 
+  private static final Set<Phase> PHASES_BEFORE_A_SEND =
+      EnumSet.of(Phase.AWAITING_TOKEN, Phase.AWAITING_START, Phase.ENTITLED);
+
   private static final class Job {
     private final OrderBook.Entry entry;
     private final Instant created;
@@ -91,6 +101,10 @@
   private final Clock clock;
   private final Map<BackendServerName, Owned> owned = new LinkedHashMap<>();
   private final Map<BackendServerName, Job> jobs = new LinkedHashMap<>();
+
+  /** Orders to removed servers that may be under way, by offset. */
+  private final Map<Long, Job> followed = new LinkedHashMap<>();
+
   private final List<OrderAction> actions = new ArrayList<>();
   private OrderBook book = OrderBook.EMPTY;
   private long attempts;
@@ -145,6 +159,7 @@
   }
 
   private void advance() {
+    follow();
     for (BackendServerName server : owned.keySet()) {
       Optional<OrderBook.Entry> next = book.next(server);
       Job job = jobs.get(server);
@@ -156,6 +171,42 @@
       }
     }
     jobs.values().forEach(this::advance);
+    followed.values().forEach(this::advance);
+  }
+
+  private void follow() {
+    jobs.values().stream()
+        .filter(job -> isFollowed(job.entry.offset()))
+        .forEach(job -> followed.put(job.entry.offset(), job));
+    jobs.values().removeAll(followed.values());
+    Instant limit = clock.instant().minus(RESULT_LIMIT);
+    followed
+        .values()
+        .removeIf(job -> !isFollowed(job.entry.offset()) || !job.created.isAfter(limit));
+    followed.values().stream()
+        .filter(job -> PHASES_BEFORE_A_SEND.contains(job.phase))
+        .forEach(this::check);
+  }
+
+  /**
+   * Tells whether the server of an order was removed and only its result is awaited.
+   *
+   * @param order offset of the order
+   * @return true if it is
+   */
+  public boolean isFollowed(long order) {
+    return book.find(order).filter(OrderBook.Entry::isFollowed).isPresent();
+  }
+
+  /**
+   * Returns the orders that this executor works on.
+   *
+   * @return offsets
+   */
+  public Set<Long> orders() {
+    Set<Long> orders = new HashSet<>(followed.keySet());
+    jobs.values().forEach(job -> orders.add(job.entry.offset()));
+    return orders;
   }
 
   private void advance(Job job) {
@@ -246,7 +297,7 @@
           watch(job, Optional.of(incarnation));
         }
       }
-      case ABSENT, UNLISTED -> {
+      default -> { // absent or unlisted
         if (maySend(job, asOf, incarnation, state)) {
           enter(job, Phase.AWAITING_TOKEN);
         }
@@ -262,6 +313,9 @@
 
   /** Tells whether an order that the state does not show is certainly not under way. */
   private boolean maySend(Job job, Instant asOf, String incarnation, OrderState state) {
+    if (followed.containsKey(job.entry.offset())) {
+      return false;
+    }
     boolean settled = !asOf.isBefore(job.maySentUntil.plus(SETTLE));
     if (job.phase == Phase.WATCHING) {
       boolean restarted = job.sentTo.isPresent() && !job.sentTo.get().equals(incarnation);
@@ -365,7 +419,9 @@
   }
 
   private Optional<Job> find(long order) {
-    return jobs.values().stream().filter(job -> job.entry.offset() == order).findFirst();
+    return Stream.concat(jobs.values().stream(), followed.values().stream())
+        .filter(job -> job.entry.offset() == order)
+        .findFirst();
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/model/control/SnapshotEntry.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/control/SnapshotEntry.java
@@ -59,8 +59,10 @@
    * @param offset offset of its record
    * @param recordedAtMillis time of the record, as the log states it
    * @param outcome decision
+   * @param serverOrder whether it is an order to a backend server
    */
-  record Command(String commandId, long offset, long recordedAtMillis, Outcome outcome)
+  record Command(
+      String commandId, long offset, long recordedAtMillis, Outcome outcome, boolean serverOrder)
       implements SnapshotEntry {}
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
@@ -174,8 +174,8 @@
           CommandResult.of(
               ResultCode.INVALID_COMMAND, "the command does not fit the configuration any more");
       case ACCEPTED, DUPLICATE ->
-          OrderReport.find(log.state().orders(), commandId)
-              .map(entry -> CommandResult.of(ResultCode.ACCEPTED, OrderReport.message(entry)))
+          OrderReport.progress(log.state(), commandId)
+              .map(message -> CommandResult.of(ResultCode.ACCEPTED, message))
               .orElseGet(() -> inForceResult(commandId));
     };
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -39,6 +40,10 @@
   private final StoreTokens tokens;
   private final OrderExecutor executor;
   private final Map<BackendServerName, Target> targets = new HashMap<>();
+
+  /** Servers of the orders in hand; a followed order needs it when the server is removed. */
+  private final Map<Long, BackendServer> receivers = new HashMap<>();
+
   private OrderBook book = OrderBook.EMPTY;
 
   private record Target(ShardId shard, BackendServer server) {}
@@ -82,6 +87,7 @@
     followOwnership(owned, map);
     tokens.tick();
     executor.tick();
+    receivers.keySet().retainAll(executor.orders());
     perform();
   }
 
@@ -130,13 +136,22 @@
   }
 
   private void readState(OrderAction.ReadState read) {
+    Optional<BackendServer> receiver = receiver(read);
+    receiver.ifPresent(server -> readState(read, server));
+  }
+
+  private Optional<BackendServer> receiver(OrderAction.ReadState read) {
     Target target = targets.get(read.server());
-    if (target == null) {
-      return;
+    if (target != null && !executor.isFollowed(read.order())) {
+      receivers.put(read.order(), target.server());
     }
+    return Optional.ofNullable(receivers.get(read.order()));
+  }
+
+  private void readState(OrderAction.ReadState read, BackendServer server) {
     Instant askedAt = clock.instant();
     client
-        .read(target.server(), read.what(), read.order())
+        .read(server, read.what(), read.order())
         .onSuccess(
             reading -> {
               Instant asOf = askedAt.minus(reading.age());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderReport.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderReport.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.cactusseam.logic.control.ControlState;
 import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.logic.query.AnswerTable;
 import org.cactusseam.logic.query.Command;
@@ -50,11 +51,28 @@
         entry.start().map(start -> start.by().value()).orElse(""));
   }
 
-  static Optional<OrderBook.Entry> find(OrderBook book, String commandId) {
-    return book.entries().stream().filter(entry -> entry.commandId().equals(commandId)).findFirst();
+  /**
+   * Describes how the order of a command goes.
+   *
+   * @param state control state that accepted the command
+   * @param commandId identity of the command
+   * @return message, or empty if the command is not an order to a backend server
+   */
+  static Optional<String> progress(ControlState state, String commandId) {
+    Optional<OrderBook.Entry> kept =
+        state.orders().entries().stream()
+            .filter(entry -> entry.commandId().equals(commandId))
+            .findFirst();
+    return kept.map(OrderReport::message)
+        .or(
+            () ->
+                state
+                    .offsetOf(commandId)
+                    .filter(offset -> state.isServerOrder(commandId))
+                    .map(offset -> "order " + offset + ": over and no longer kept"));
   }
 
-  static String message(OrderBook.Entry entry) {
+  private static String message(OrderBook.Entry entry) {
     return "order " + entry.offset() + " to " + entry.server() + ": " + state(entry);
   }
 
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
@@ -5,8 +5,10 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.net.http.HttpRequest;
 import java.time.Duration;
 import java.util.UUID;
+import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.standin.Json;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -139,6 +141,56 @@
     assertThat(system.command("entry-1", command), startsWith("INVALID_COMMAND"));
   }
 
+  @Test
+  void orders_to_a_removed_server_end_and_a_running_one_shows_its_result() {
+    system.engine("leaving", "--order-ms", "6000");
+    system.awaitReady("entry-1");
+    system.declareEngine("entry-1", "leaving", "ost-wien", "checked", 2, 8);
+    String running = UUID.randomUUID().toString();
+    String waiting = UUID.randomUUID().toString();
+    system.command("entry-1", "load model \"running\" on server leaving", running);
+    system.command("entry-1", "load model \"waiting\" on server leaving", waiting);
+    Eventually.await(
+        "the engine works on the order",
+        DONE_LIMIT,
+        () -> Http.get(system.port("leaving"), "/load").contains("\"name\":\"running\""));
+
+    system.accept("entry-2", "remove server leaving");
+
+    awaitState("entry-2", waiting, "server_removed");
+    awaitState("entry-2", running, "done");
+    assertThat(applied("leaving"), is(1L));
+  }
+
+  @Test
+  void an_order_that_is_no_longer_kept_is_not_shown_as_a_configuration_change() {
+    String id = UUID.randomUUID().toString();
+    system.command("entry-1", "load adapter \"early\" on server checked", id);
+    awaitState("entry-1", id, "done");
+    for (int number = 0; number < OrderBook.MAXIMUM_ENTRIES; number++) {
+      long order = appendOrder("later-" + number);
+      append("{\"type\":\"order_ended\",\"order\":" + order + ",\"outcome\":\"DONE\"}");
+    }
+
+    awaitState("entry-2", "later-" + (OrderBook.MAXIMUM_ENTRIES - 1), "done");
+    assertThat(
+        system.command("entry-2", "show command " + id), containsString("over and no longer kept"));
+  }
+
+  private long appendOrder(String id) {
+    String order =
+        """
+        {"type":"order","commandId":"%s","server":"checked","operator":"tester",\
+        "order":{"kind":"LOAD_ADAPTER","name":"early"}}""";
+    return append(order.formatted(id));
+  }
+
+  private long append(String controlRecord) {
+    var request = Http.request(system.logPort, "/streams/control/records");
+    var body = HttpRequest.BodyPublishers.ofString(controlRecord);
+    return Json.parseObject(Http.send(request.POST(body)).body()).path("offset").asLong();
+  }
+
   @Test
   void a_repeated_command_is_one_order() {
     long before = applied("ignored");
