Make the interval of orders a setting

Cause: the rate of the weight store was a constant of one order in 3 s, so a deployment with a faster or slower store could not say so.

Change: platform.weight-store-interval, 3 s without it, from 100 ms (the interval at which the bucket is read) to 1 h.

Ruled out: a value in the control log, which would need a record and a command of its own for something that changes with the platform; sending the value with the question for a token, because the holder would have to trust the shortest of them in any case.

Seen failing before: the two rows of SettingsLoaderTest found "unknown key" in place of the fault of the value; with the constant put back into StoreTokens, the three rows of the new test in StoreTokensTest failed (0 and 1 tokens in place of 4, and 6 tokens too early).

After: StoreTokensTest, SettingsLoaderTest and SettingsPageTest pass.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -129,7 +129,9 @@
     this.claims =
         new ClaimDesk(
             vertx, thread, clock, platformLog, settings.platform(), self, this::sendToClaimant);
-    this.tokens = new StoreTokens(clock, self.node(), times, this::send);
+    this.tokens =
+        new StoreTokens(
+            clock, self.node(), times, settings.platform().weightStoreInterval(), this::send);
     this.orders =
         new OrderDesk(
             clock, self, tokens, new OrderClient(vertx), coordinator::mayGrant, log::append);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/StoreTokens.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/StoreTokens.java
@@ -22,9 +22,6 @@
  */
 final class StoreTokens {
 
-  /** Time between two orders. The weight store states no rate, so this is a cautious one. */
-  static final Duration INTERVAL = Duration.ofSeconds(3);
-
   /** Rendezvous subject by which the holder is chosen. */
   private static final String SUBJECT = "weight-store";
 
@@ -38,12 +35,26 @@
   private Instant holderSince = Instant.MAX;
   private Instant logReadAt = Instant.MIN;
 
-  StoreTokens(Clock clock, NodeName self, MembershipSettings times, PermitRouter.Sender sender) {
+  /**
+   * Creates a daemon's part; it holds no bucket.
+   *
+   * @param clock source of time
+   * @param self this node
+   * @param times times of leases
+   * @param interval time between two orders while this node holds the bucket
+   * @param sender sends a message to a node, also this one
+   */
+  StoreTokens(
+      Clock clock,
+      NodeName self,
+      MembershipSettings times,
+      Duration interval,
+      PermitRouter.Sender sender) {
     this.clock = clock;
     this.self = self;
     this.times = times;
     this.sender = sender;
-    this.limiter = new StoreRateLimiter(clock, INTERVAL);
+    this.limiter = new StoreRateLimiter(clock, interval);
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/Settings.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/Settings.java
@@ -115,6 +115,8 @@
    * @param retention how long the log keeps records
    * @param vmListUrl base URL of the VM list
    * @param vmListLag longest time by which the VM list lags behind
+   * @param weightStoreInterval time between two orders to backend servers, which load from the
+   *     weight store
    */
   public record Platform(
       URI logUrl,
@@ -122,7 +124,8 @@
       String claimsStream,
       Duration retention,
       URI vmListUrl,
-      Duration vmListLag) {}
+      Duration vmListLag,
+      Duration weightStoreInterval) {}
 
   /**
    * Limits against overload by callers.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsKeys.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsKeys.java
@@ -61,6 +61,15 @@
       SettingKey.withDefault(
           "platform.vm-list-lag", duration(Duration.ofSeconds(1), Duration.ofMinutes(10)), "30s");
 
+  /**
+   * The bucket is read every 100 ms; the store states no rate, so the default is a cautious one.
+   */
+  static final SettingKey<Duration> WEIGHT_STORE_INTERVAL =
+      SettingKey.withDefault(
+          "platform.weight-store-interval",
+          duration(Duration.ofMillis(100), Duration.ofHours(1)),
+          "3s");
+
   static final SettingKey<Integer> BODY_BYTES =
       SettingKey.withDefault("limits.body-bytes", integer(1_024, 67_108_864), "1048576");
   static final SettingKey<Integer> HEADER_BYTES =
@@ -115,6 +124,7 @@
           RETENTION,
           VM_LIST_URL,
           VM_LIST_LAG,
+          WEIGHT_STORE_INTERVAL,
           BODY_BYTES,
           HEADER_BYTES,
           EVENTS_PER_STREAM,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
@@ -230,7 +230,8 @@
           get(SettingsKeys.CLAIMS_STREAM),
           get(SettingsKeys.RETENTION),
           get(SettingsKeys.VM_LIST_URL),
-          get(SettingsKeys.VM_LIST_LAG));
+          get(SettingsKeys.VM_LIST_LAG),
+          get(SettingsKeys.WEIGHT_STORE_INTERVAL));
     }
 
     private Settings.Limits limits() {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/control/StoreTokensTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/control/StoreTokensTest.java
@@ -19,18 +19,25 @@
 import org.cactusseam.model.control.MemberStanding;
 import org.cactusseam.model.message.PeerMessage;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against two daemons that hold the token bucket of the weight store at once. */
 class StoreTokensTest {
 
   private static final MembershipSettings TIMES = MembershipSettings.DEFAULT;
+  private static final Duration INTERVAL = Duration.ofSeconds(3);
   private static final NodeName ASKER = new NodeName("asker");
   private static final NodeName OST = new NodeName("entry-1");
 
   private final PausedClock clock = new PausedClock();
   private final List<PeerMessage> sent = new ArrayList<>();
   private final List<NodeName> receivers = new ArrayList<>();
-  private final StoreTokens tokens = new StoreTokens(clock, OST, TIMES, this::send);
+  private final StoreTokens tokens = tokens(INTERVAL);
+
+  private StoreTokens tokens(Duration interval) {
+    return new StoreTokens(clock, OST, TIMES, interval, this::send);
+  }
 
   private void send(NodeName node, PeerMessage message) {
     receivers.add(node);
@@ -59,6 +66,10 @@
 
   /** Lets time pass in steps, with or without reading the log, and returns what was sent. */
   private List<PeerMessage> pass(Duration duration, boolean reading) {
+    return pass(tokens, duration, reading);
+  }
+
+  private List<PeerMessage> pass(StoreTokens tokens, Duration duration, boolean reading) {
     sent.clear();
     Instant end = clock.instant().plus(duration);
     while (clock.instant().isBefore(end)) {
@@ -77,9 +88,7 @@
     tokens.applied(members("ost", "west"));
 
     assertThat(pass(TIMES.takeoverWait(), true), empty());
-    assertThat(
-        pass(StoreTokens.INTERVAL.plusMillis(100), true),
-        is(List.of(new PeerMessage.OrderToken(17))));
+    assertThat(pass(INTERVAL.plusMillis(100), true), is(List.of(new PeerMessage.OrderToken(17))));
     assertThat(receivers, is(List.of(ASKER)));
   }
 
@@ -88,7 +97,20 @@
     tokens.applied(members("ost"));
     pass(TIMES.takeoverWait(), true);
 
-    assertThat(pass(StoreTokens.INTERVAL.multipliedBy(5), true).size(), is(5));
+    assertThat(pass(INTERVAL.multipliedBy(5), true).size(), is(5));
+  }
+
+  /** The setting of the holder counts; an interval of a former holder must not shorten it. */
+  @ParameterizedTest(name = "interval {0} ms")
+  @ValueSource(longs = {100, 1_000, 20_000})
+  void the_interval_of_the_settings_is_kept_from_the_takeover_on(long millis) {
+    Duration interval = Duration.ofMillis(millis);
+    StoreTokens holder = tokens(interval);
+    holder.applied(members("ost"));
+    pass(holder, TIMES.takeoverWait(), true);
+
+    assertThat(pass(holder, interval.minusMillis(50), true), empty());
+    assertThat(pass(holder, interval.multipliedBy(4), true).size(), is(4));
   }
 
   @Test
@@ -97,7 +119,7 @@
     pass(TIMES.takeoverWait(), true);
     pass(TIMES.lease(), false);
 
-    assertThat(pass(StoreTokens.INTERVAL.multipliedBy(3), false), empty());
+    assertThat(pass(INTERVAL.multipliedBy(3), false), empty());
   }
 
   @Test
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/settings/SettingsLoaderTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/settings/SettingsLoaderTest.java
@@ -83,6 +83,7 @@
         settings.keys().operators(), is(List.of(new Settings.OperatorKey("resi", KEY_HASH))));
     assertThat(settings.tls().caller(), is(Optional.empty()));
     assertThat(settings.shutdown().drain(), is(Duration.ofMinutes(10)));
+    assertThat(settings.platform().weightStoreInterval(), is(Duration.ofSeconds(3)));
     assertThat(settings.logging().format(), is(Settings.LogFormat.JSON));
   }
 
@@ -107,6 +108,8 @@
           cluster.key; cluster.key|  cluster-key: x; 11:3: keys.cluster-key: unknown key
           http://127.0.0.1:9000; ftp://127.0.0.1; 13:12: platform.log-url: expected a URL
           http://127.0.0.1:9000; http://a:b@127.0.0.1; 13:12: platform.log-url: expected a URL
+          127.0.0.1:9001; 127.0.0.1:9001|  weight-store-interval: 99ms; 15:26: platform.weight-store-interval: expected a duration like 500ms, 3s, 10min, 12h or 7d, from 100ms to 1h, found '99ms'
+          127.0.0.1:9001; 127.0.0.1:9001|  weight-store-interval: 3; 15:26: platform.weight-store-interval: expected a duration
           platform:; platform: x|platform2:; 12:11: platform: expected a group of keys
           region: ost; region: ost|shutdown: {grace: 3}; 5:19: shutdown.grace: expected a duration
           region: ost; region: ost|shutdown: {drain: 2d}; 5:19: shutdown.drain: expected a duration like 500ms, 3s, 10min, 12h or 7d, from 0ms to 1d, found '2d'
