--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -15,7 +16,6 @@
 import org.cactusseam.logic.control.ControlState;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.orders.OrderAction;
-import org.cactusseam.logic.orders.OrderAnswer;
 import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.logic.orders.OrderExecutor;
 import org.cactusseam.model.BackendKind;
@@ -40,6 +40,10 @@
   private final StoreTokens tokens;
   private final OrderExecutor executor;
   private final Map<BackendServerName, Target> targets = new HashMap<>();
+
+  /** Servers of the orders in hand; a followed order needs it when the server is removed. */
+  private final Map<Long, BackendServer> receivers = new HashMap<>();
+
   private OrderBook book = OrderBook.EMPTY;
 
   private record Target(ShardId shard, BackendServer server) {}
@@ -83,6 +87,7 @@
     followOwnership(owned, map);
     tokens.tick();
     executor.tick();
+    receivers.keySet().retainAll(executor.orders());
     perform();
   }
 
@@ -131,16 +136,26 @@
   }
 
   private void readState(OrderAction.ReadState read) {
+    Optional<BackendServer> receiver = receiver(read);
+    receiver.ifPresent(server -> readState(read, server));
+  }
+
+  private Optional<BackendServer> receiver(OrderAction.ReadState read) {
     Target target = targets.get(read.server());
-    if (target == null) {
-      return;
+    if (target != null && !executor.isFollowed(read.order())) {
+      receivers.put(read.order(), target.server());
     }
+    return Optional.ofNullable(receivers.get(read.order()));
+  }
+
+  private void readState(OrderAction.ReadState read, BackendServer server) {
     Instant askedAt = clock.instant();
     client
-        .read(target.server(), read.what())
+        .read(server, read.what(), read.order())
         .onSuccess(
             reading -> {
-              executor.stateRead(read.order(), askedAt, reading.incarnation(), reading.state());
+              Instant asOf = askedAt.minus(reading.age());
+              executor.stateRead(read.order(), asOf, reading.incarnation(), reading.state());
               perform();
             });
   }
@@ -160,13 +175,13 @@
         .onFailure(cause -> lost(send, cause));
   }
 
-  private void answered(OrderAction.Send send, OrderAnswer answer) {
+  private void answered(OrderAction.Send send, OrderClient.Reply reply) {
     LOG.info(
         "order_answered",
         field("order", send.order()),
         field("server", send.server()),
-        field("answer", answer));
-    executor.answered(send.order(), answer);
+        field("answer", reply.answer()));
+    executor.answered(send.order(), reply.answer(), reply.incarnation());
     perform();
   }
 
