Let other requests of an account pass a suspect that may run nowhere

Cause: the waiting room blocked the whole line of the account for the pass when the first attempt of the line found no server, also if the reason concerned that attempt alone (placement rule, or servers that failed it before). If one server was forbidden and the rest were full, the obstacle even counted as short capacity, which also stopped all lower classes.

Ruled out: a separate line for suspects in the waiting room, because the owner learns only at the choice of a server that an attempt is restricted.

Change: an attempt for which any server with room is forbidden is passed over alone until the next pass, and does not stop lower classes.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -11,10 +11,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.cactusseam.logic.admission.ServerChooser.Obstacle;
-import org.cactusseam.model.AccountName;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
-import org.cactusseam.model.ClientAccount;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.PriorityClass;
@@ -56,8 +54,7 @@
   private final AdmissionSettings settings;
   private final Map<BackendServerName, ServerState> servers = new LinkedHashMap<>();
   private final Map<PermitRequestId, Attempt> attempts = new HashMap<>();
-  private final Map<AccountName, AccountLedger> ledgers = new HashMap<>();
-  private final List<AccountLedger> purchased = new ArrayList<>();
+  private final AccountLedgers ledgers = new AccountLedgers();
   private final OutputLengths lengths = new OutputLengths();
   private final ServiceRate rate = new ServiceRate();
   private final List<AdmissionDecision> decisions = new ArrayList<>();
@@ -130,7 +127,7 @@
           .computeIfAbsent(server.name(), name -> new ServerState(server, settings))
           .describe(server, configuration.isInService(server), clock.millis());
     }
-    updateShares();
+    ledgers.configure(configuration);
     admitWaiting();
   }
 
@@ -378,7 +375,7 @@
     boolean byRank = settings.uses(Mechanism.PRIORITY_ORDER);
     int rank = byRank ? priorityClass.map(PriorityClass::rank).orElse(LOWEST_RANK) : 0;
     boolean mayWait = priorityClass.map(PriorityClass::mayWait).orElse(false);
-    AccountLedger ledger = ledgers.computeIfAbsent(request.account(), name -> new AccountLedger());
+    AccountLedger ledger = ledgers.of(request.account());
     OutputLengths.Source source = lengths.of(request.account(), request.route());
     return new Attempt(request, ledger, source, rank, mayWait, clock.millis(), sequence++);
   }
@@ -442,7 +439,7 @@
     waiting.startPass();
     boolean reserve = settings.uses(Mechanism.PURCHASED_SHARES);
     if (reserve) {
-      reservations.refresh(servers.values(), purchased);
+      reservations.refresh(servers.values(), ledgers.purchased());
     }
     for (int rank = 0; rank < WaitingRoom.RANKS; rank++) {
       if (!admitRank(rank, now, reserve)) {
@@ -466,8 +463,7 @@
       }
       ServerState server = chooser.choose(attempt, servers.values(), now);
       if (server == null) {
-        waiting.block(attempt);
-        capacityIsShort |= chooser.obstacle() == Obstacle.CAPACITY;
+        capacityIsShort |= passBy(attempt);
         continue;
       }
       grant(attempt, server);
@@ -475,12 +471,22 @@
         return false;
       }
       if (reserve) {
-        reservations.refresh(servers.values(), purchased);
+        reservations.refresh(servers.values(), ledgers.purchased());
       }
     }
     return !capacityIsShort;
   }
 
+  /** Passes by an attempt without a server; returns whether capacity is short. */
+  private boolean passBy(Attempt attempt) {
+    if (chooser.obstacle() == Obstacle.EXCLUDED) {
+      waiting.passOver(attempt);
+      return false;
+    }
+    waiting.block(attempt);
+    return true;
+  }
+
   private boolean leavesEnough(Attempt attempt) {
     double needed = attempt.promptTokens + attempt.expectedTotal();
     return reservations.leavesEnough(attempt, needed, deadlines.runMillis(attempt));
@@ -579,21 +585,6 @@
     }
   }
 
-  private void updateShares() {
-    List<ClientAccount> accounts = configuration.all(ClientAccount.class);
-    long total = accounts.stream().mapToLong(ClientAccount::share).sum();
-    purchased.clear();
-    for (ClientAccount account : accounts) {
-      AccountLedger ledger = ledgers.computeIfAbsent(account.name(), name -> new AccountLedger());
-      Optional<PriorityClass> found = configuration.priorityClass(account.priorityClass());
-      int rank = found.map(PriorityClass::rank).orElse(LOWEST_RANK);
-      ledger.purchase(rank, account.share(), total);
-      if (account.share() > 0) {
-        purchased.add(ledger);
-      }
-    }
-  }
-
   private void refuse(PermitRequestId attempt, ResultCode code, long retryAfterMillis) {
     decisions.add(new AdmissionDecision.Refused(attempt, code, "shard " + id, retryAfterMillis));
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
@@ -19,6 +19,9 @@
   long askedAt;
   boolean waiting = true;
 
+  /** Last pass over the waiting room in which no server was permitted for this attempt. */
+  long passedOverInPass = -1;
+
   @Nullable ServerState server;
   @Nullable Permit permit;
   long grantedAt;
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -16,7 +16,10 @@
     NONE,
     /** No server has room. */
     CAPACITY,
-    /** Every server with room failed an earlier attempt, or the placement rule forbids it. */
+    /**
+     * A server with room failed an earlier attempt, or the placement rule forbids it; the others
+     * have no room. The obstacle concerns this attempt alone.
+     */
     EXCLUDED
   }
 
@@ -76,7 +79,7 @@
     if (best != null) {
       obstacle = Obstacle.NONE;
     } else {
-      obstacle = excluded && candidates.isEmpty() ? Obstacle.EXCLUDED : Obstacle.CAPACITY;
+      obstacle = excluded ? Obstacle.EXCLUDED : Obstacle.CAPACITY;
     }
     return best;
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/WaitingRoom.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/WaitingRoom.java
@@ -155,6 +155,11 @@
     }
   }
 
+  /** Passes over one attempt until the next pass; others of its account are still tried. */
+  void passOver(Attempt attempt) {
+    attempt.passedOverInPass = pass;
+  }
+
   /** Returns the waiting attempts that satisfy a condition. */
   List<Attempt> select(Predicate<Attempt> condition) {
     List<Attempt> result = new ArrayList<>();
@@ -170,7 +175,7 @@
     return result;
   }
 
-  private static @Nullable Attempt head(Line line, long askedSince) {
+  private @Nullable Attempt head(Line line, long askedSince) {
     while (!line.attempts.isEmpty() && !line.attempts.getFirst().waiting) {
       line.attempts.removeFirst();
     }
@@ -179,7 +184,7 @@
       Attempt attempt = iterator.next();
       if (!attempt.waiting) {
         iterator.remove();
-      } else if (attempt.askedAt >= askedSince) {
+      } else if (attempt.askedAt >= askedSince && attempt.passedOverInPass != pass) {
         return attempt;
       }
     }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/admission/AdmissionShardTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards the rules that decide when and where an attempt runs. */
 class AdmissionShardTest {
@@ -355,4 +356,26 @@
     shard.lease(true);
     assertThat(fixture.grants().getFirst().id(), is(silent.id()));
   }
+
+  /** Guards against a suspect without a permitted server that holds up its account's requests. */
+  @ParameterizedTest(name = "a further server that is full: {0}")
+  @ValueSource(booleans = {false, true})
+  void an_attempt_that_may_run_nowhere_does_not_hold_up_its_account(boolean fullServer) {
+    fixture.server("zopf-1", 4, 50, 1_000_000);
+    if (fullServer) {
+      fixture.server("zopf-2", 4, 50, 50);
+    }
+    fixture.warm();
+    shard.placement((request, running) -> request.isEmpty() || !running.contains("suspect"));
+    for (int index = 0; index < fixture.servers.size(); index++) {
+      String fingerprint = index == 0 ? "suspect" : "";
+      PermitRequest running = fixture.suspect("premium", fingerprint);
+      shard.adopt(running, new Permit(running.id(), fixture.id, fixture.name(index), 7), 10);
+    }
+
+    shard.request(fixture.suspect("premium", "another suspect"));
+
+    assertThat(fixture.grants(), is(empty()));
+    assertThat(fixture.askMany("premium", 3), hasSize(3));
+  }
 }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/admission/ShardFixture.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/admission/ShardFixture.java
@@ -133,6 +133,24 @@
         "");
   }
 
+  /** Returns a request of the account with a fingerprint that a placement rule recognises. */
+  PermitRequest suspect(String account, String fingerprint) {
+    PermitRequest request = request(account);
+    return new PermitRequest(
+        request.id(),
+        id,
+        request.request(),
+        request.account(),
+        request.priorityClass(),
+        request.route(),
+        request.promptTokens(),
+        List.of(),
+        0,
+        request.patienceMillis(),
+        List.of(),
+        fingerprint);
+  }
+
   /** Sends a request and returns the decisions on it. */
   List<AdmissionDecision> ask(PermitRequest request) {
     shard.request(request);
