Shorten the first token of an account that returns to its share

The choice of the server looked at memory first, and lower classes went on starting prompts meanwhile.

Ruled out: waiting for permits (first token at the engine is 74 of 87 ms), and preemption.

Change: an attempt within the share of a class that may displace goes to the server with the shortest expected steps (streams and uncached prompt tokens), and lower classes start nothing for 300 ms after it.

The copies of AdmissionSettings are made in one place.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionSettings.java
@@ -20,6 +20,8 @@
  * @param borrowPart part of the reserved capacity that may be borrowed, 0 to 1
  * @param displacingRank classes up to this rank do not wait for the memory of lower classes while
  *     their account is within its share, because the engine preempts the lower class; -1 for none
+ * @param startPauseMillis time for which lower classes start nothing after such a class asked for
+ *     its share, in milliseconds; 0 for none
  * @param waitingMargin part of the capacity that classes that may wait leave free, 0 to 1
  * @param deadlineServicePart part of the expected run time that must fit before the deadline
  * @param affinityWeight load difference that a complete prefix match outweighs, 0 to 1
@@ -40,6 +42,7 @@
     long borrowMillis,
     double borrowPart,
     int displacingRank,
+    long startPauseMillis,
     double waitingMargin,
     double deadlineServicePart,
     double affinityWeight,
@@ -50,6 +53,7 @@
 
   private static final long SILENCE_MILLIS = 500;
   private static final long RAMP_STEP_MILLIS = 250;
+  private static final long START_PAUSE_MILLIS = 300;
 
   /** Copies the set and checks the ranges. */
   public AdmissionSettings {
@@ -103,6 +107,7 @@
         1_500,
         0.25,
         0,
+        START_PAUSE_MILLIS,
         waitingMargin,
         0.5,
         affinityWeight,
@@ -120,8 +125,7 @@
    * @return settings
    */
   public static AdmissionSettings baseline(ServerChoice choice) {
-    AdmissionSettings preset = zopfwerk();
-    return preset.with(EnumSet.noneOf(Mechanism.class), choice);
+    return zopfwerk().with(EnumSet.noneOf(Mechanism.class), choice);
   }
 
   /**
@@ -132,25 +136,7 @@
    * @return the copy
    */
   public AdmissionSettings with(Set<Mechanism> newMechanisms, ServerChoice newChoice) {
-    return new AdmissionSettings(
-        newMechanisms,
-        newChoice,
-        headroom,
-        rampFactor,
-        rampStepMillis,
-        silenceMillis,
-        reservedPart,
-        sameClassReservedPart,
-        borrowMillis,
-        borrowPart,
-        displacingRank,
-        waitingMargin,
-        deadlineServicePart,
-        affinityWeight,
-        prefillWeight,
-        accountQueueLimit,
-        retryPart,
-        breakerFailures);
+    return copy(newMechanisms, newChoice, headroom, reservedPart);
   }
 
   /**
@@ -160,25 +146,7 @@
    * @return the copy
    */
   public AdmissionSettings withHeadroom(double newHeadroom) {
-    return new AdmissionSettings(
-        mechanisms,
-        choice,
-        newHeadroom,
-        rampFactor,
-        rampStepMillis,
-        silenceMillis,
-        reservedPart,
-        sameClassReservedPart,
-        borrowMillis,
-        borrowPart,
-        displacingRank,
-        waitingMargin,
-        deadlineServicePart,
-        affinityWeight,
-        prefillWeight,
-        accountQueueLimit,
-        retryPart,
-        breakerFailures);
+    return copy(mechanisms, choice, newHeadroom, reservedPart);
   }
 
   /**
@@ -188,10 +156,18 @@
    * @return the copy
    */
   public AdmissionSettings withReservedPart(double newReservedPart) {
+    return copy(mechanisms, choice, headroom, newReservedPart);
+  }
+
+  private AdmissionSettings copy(
+      Set<Mechanism> newMechanisms,
+      ServerChoice newChoice,
+      double newHeadroom,
+      double newReservedPart) {
     return new AdmissionSettings(
-        mechanisms,
-        choice,
-        headroom,
+        newMechanisms,
+        newChoice,
+        newHeadroom,
         rampFactor,
         rampStepMillis,
         silenceMillis,
@@ -200,6 +176,7 @@
         borrowMillis,
         borrowPart,
         displacingRank,
+        startPauseMillis,
         waitingMargin,
         deadlineServicePart,
         affinityWeight,
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -63,6 +63,7 @@
   private final Reservations reservations;
   private final DeadlineRule deadlines;
   private final RetryBudget retries;
+  private final StartPause pause;
   private Configuration configuration = Configuration.EMPTY;
   private long epoch;
   private long sequence;
@@ -95,6 +96,7 @@
     this.reservations = new Reservations(settings);
     this.deadlines = new DeadlineRule(settings, rate);
     this.retries = new RetryBudget(settings.retryPart());
+    this.pause = new StartPause(settings.startPauseMillis());
   }
 
   /** Sets a further condition on where requests may run; it is asked at each choice. */
@@ -442,7 +444,8 @@
       reservations.refresh(servers.values(), ledgers.purchased());
     }
     for (int rank = 0; rank < WaitingRoom.RANKS; rank++) {
-      if (!admitRank(rank, now, reserve)) {
+      boolean paused = rank > settings.displacingRank() && !pause.isOver(now);
+      if (paused || !admitRank(rank, now, reserve)) {
         return;
       }
     }
@@ -461,6 +464,9 @@
         waiting.block(attempt);
         continue;
       }
+      if (chooser.displaces(attempt)) {
+        pause.extend(now);
+      }
       ServerState server = chooser.choose(attempt, servers.values(), now);
       if (server == null) {
         capacityIsShort |= passBy(attempt);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -26,6 +26,9 @@
   /** Prompt tokens that common engines compute in one step. */
   private static final double STEP_PROMPT_TOKENS = 512;
 
+  /** Prompt tokens that lengthen a step of the engine model as much as one more stream. */
+  private static final double STREAM_PROMPT_TOKENS = 10;
+
   private final AdmissionSettings settings;
   private final List<ServerState> candidates = new ArrayList<>();
   private Obstacle obstacle = Obstacle.NONE;
@@ -74,7 +77,8 @@
           case ROUND_ROBIN -> candidates.isEmpty() ? null : nextInTurn(servers);
           case LEAST_CONNECTIONS -> fewestOpen();
           case LEAST_REPORTED_LOAD -> leastReported();
-          case EXPECTED_LOAD -> leastExpected(attempt, now);
+          case EXPECTED_LOAD ->
+              displaces(attempt) ? soonest(attempt, now) : leastExpected(attempt, now);
         };
     if (best != null) {
       obstacle = Obstacle.NONE;
@@ -168,13 +172,36 @@
     return least;
   }
 
+  /**
+   * Returns the server with the shortest expected steps, which the first token of an account that
+   * returns to its share waits for. Load matters less for it, because it may displace others.
+   */
+  private @Nullable ServerState soonest(Attempt attempt, long now) {
+    ServerState best = null;
+    double bestCost = Double.POSITIVE_INFINITY;
+    for (ServerState server : candidates) {
+      double prompts = server.recentPromptTokens(now) + server.uncachedTokens(attempt);
+      double cost = STREAM_PROMPT_TOKENS * server.open() + prompts;
+      if (cost < bestCost
+          && (expectedLoad(attempt, server) <= 1 || fitsByDisplacing(attempt, server))) {
+        best = server;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** Tells whether an attempt may displace lower classes, as of the last look at its share. */
+  boolean displaces(Attempt attempt) {
+    return attempt.withinShare
+        && attempt.rank <= settings.displacingRank()
+        && settings.uses(Mechanism.PURCHASED_SHARES);
+  }
+
   /** Tells whether the attempt fits if the engine preempts streams of lower classes for it. */
   private boolean fitsByDisplacing(Attempt attempt, ServerState server) {
-    if (attempt.rank > settings.displacingRank() || !settings.uses(Mechanism.PURCHASED_SHARES)) {
-      return false;
-    }
-    double peak = server.firmPeakWith(attempt.promptTokens, 0);
-    return attempt.withinShare && peak <= server.memoryLimit();
+    return displaces(attempt)
+        && server.firmPeakWith(attempt.promptTokens, 0) <= server.memoryLimit();
   }
 
   /** Returns the load with the attempt as a part of the capacity; over 1 if it does not fit. */
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerState.java
@@ -136,6 +136,16 @@
     }
   }
 
+  /** Returns the prompt tokens of an attempt that the prefix cache probably does not hold. */
+  int uncachedTokens(Attempt attempt) {
+    List<Long> prefixes = attempt.request.prefixHashes();
+    if (prefixes.isEmpty()) {
+      return attempt.promptTokens;
+    }
+    double cached = cache.match(prefixes) * prefixes.size() * PromptBlocks.BLOCK_TOKENS;
+    return (int) Math.max(1, attempt.promptTokens - cached);
+  }
+
   /** Returns prompt tokens that were sent recently and that the engine probably still computes. */
   double recentPromptTokens(long now) {
     double rest = 1 - (double) (now - recentSince) / RECENT_MILLIS;
@@ -144,7 +154,7 @@
 
   /** Adds a granted attempt to the confirmation window. */
   void open(Attempt attempt, long now) {
-    recentPromptTokens = (int) recentPromptTokens(now) + attempt.promptTokens;
+    recentPromptTokens = (int) recentPromptTokens(now) + uncachedTokens(attempt);
     recentSince = now;
     if (attempts.isEmpty()) {
       lastHeard = Math.max(lastHeard, now);
