Send loads without a wait only when they begin and every 2 s

Requesters use of a load only the expected wait, which is 0 for every load of a shard without a wait, whatever its counts. Ruled out: leaving out unchanged or similar loads with a wait. Requesters add what they sent since the last load to such a wait, so fewer loads would make it grow. Change: LoadPublisher sends each load with a wait as before, the end of a wait at once, and repeats loads without a wait every 2 s. A lost, overtaken or repeated message is corrected within one repetition, 2 s instead of 250 ms; a restarted receiver assumes no wait, as before.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/admission/ShardLoad.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/admission/ShardLoad.java
@@ -25,6 +25,16 @@
     waitMillisByRank = List.copyOf(waitMillisByRank);
   }
 
+  /**
+   * Tells whether an attempt of any rank starts at once, however many the requester sent since. Two
+   * such loads are the same to a requester.
+   *
+   * @return true if {@link #expectedWaitMillis} is 0 for all arguments
+   */
+  public boolean isWithoutWait() {
+    return limit > 0 && open <= limit && waitMillisByRank.stream().allMatch(wait -> wait == 0);
+  }
+
   /**
    * Returns the expected wait of an attempt; very long if no server is in service.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -68,6 +68,7 @@
   private final CacheEventReader cacheEvents;
   private final OwnedShards owned;
   private final ShardLoads shardLoads = new ShardLoads();
+  private final LoadPublisher publisher;
   private final QuarantineDesk quarantine;
   private final PeerQueries queries;
   private final CommandDesk commands;
@@ -122,6 +123,7 @@
     this.owned =
         new OwnedShards(
             clock, CoreSettings.admission(settings), coordinator::mayGrant, this::send, quarantine);
+    this.publisher = new LoadPublisher(clock, owned::loads, shardLoads, this::sendToPeers);
     LoadPoller poller = new LoadPoller(vertx);
     this.loads = new LoadProbes(clock, poller, owned, quarantine, () -> view.shards());
     this.cacheEvents = new CacheEventReader(poller, owned);
@@ -317,16 +319,8 @@
     configureShards();
   }
 
-  private void publishLoads() {
-    List<PeerMessage.LoadOf> current = owned.loads();
-    if (!current.isEmpty()) {
-      shardLoads.published(current);
-      sendToPeers(new PeerMessage.Loads(current));
-    }
-  }
-
   private void pollBackendServers() {
-    publishLoads();
+    publisher.publish();
     loads.pollAll();
     for (ShardId shard : List.copyOf(owned.owned())) {
       cacheEvents.poll(shard, view.shards().shards().getOrDefault(shard, List.of()));
