Send status only to idle peers while no crash is known

Cause: every node sent its status to every peer every 2 s, also to those that it pings, which carry the same statement. Change: without suspicions a status goes only to peers that were sent nothing for 4 s, which keeps their connection from being closed after 10 s. A node that knows suspicions sends its status to all every 2 s as before. A message to all peers is encoded once. Result: PeerNetworkTest passes (lost message, restarted receiver).

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -267,8 +267,12 @@
       network.peers().forEach(peer -> network.send(peer, new PeerMessage.RecordsRequest(-1)));
     }
     commands.appendPending();
-    // Links to other regions carry no pings; without traffic the peer closes them as half-open.
-    sendToPeers(status());
+    // Peers without suspicions have nothing to compare; only links without pings need traffic.
+    if (quarantine.knowsSuspicions()) {
+      sendToPeers(status());
+    } else {
+      network.sendToIdle(status());
+    }
     List<NodeName> active = log.state().membership().active().stream().map(Member::node).toList();
     if (active.contains(self.node())) {
       log.snapshotIfDue(clock.millis(), Ownership.rank("snapshot", self.node(), active));
@@ -332,7 +336,7 @@
   }
 
   private void sendToPeers(PeerMessage message) {
-    network.peers().forEach(peer -> network.send(peer, message));
+    network.sendToAll(message);
   }
 
   private void readList() {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/QuarantineDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/QuarantineDesk.java
@@ -184,6 +184,11 @@
         .orElse(true);
   }
 
+  /** Tells whether peers may know something else, so that digests have to be exchanged. */
+  boolean knowsSuspicions() {
+    return !table.suspicions().equals(Suspicions.NONE);
+  }
+
   long digest() {
     return table.digest();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerLink.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerLink.java
@@ -3,6 +3,7 @@
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.net.ConnectException;
@@ -28,6 +29,7 @@
   private final String host;
   private final int port;
   private @Nullable NetSocket open;
+  private Instant sentAt = Instant.MIN;
   private boolean stopped;
 
   PeerLink(
@@ -67,7 +69,16 @@
     }
   }
 
+  boolean isIdleSince(Instant limit) {
+    return !sentAt.isAfter(limit);
+  }
+
   boolean send(PeerMessage message) {
+    return send(PeerCodec.encode(message));
+  }
+
+  /** Sends a frame that may go to several peers. */
+  boolean send(Buffer frame) {
     NetSocket socket = open;
     if (socket == null) {
       return false;
@@ -77,7 +88,8 @@
       socket.close();
       return false;
     }
-    socket.write(PeerCodec.encode(message));
+    socket.write(frame);
+    sentAt = network.clock().instant();
     return true;
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerNetwork.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerNetwork.java
@@ -2,13 +2,17 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -23,6 +27,9 @@
  */
 public final class PeerNetwork {
 
+  /** Leaves time for one late call of {@link #sendToIdle} before the idle timeout of the peer. */
+  static final Duration KEEP_ALIVE = Duration.ofSeconds(4);
+
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
   private static final int IDLE_TIMEOUT_SECONDS = 10;
 
@@ -143,6 +150,31 @@
     return link != null && link.send(message);
   }
 
+  /**
+   * Sends a message to all peers. It is encoded once.
+   *
+   * @param message message
+   */
+  public void sendToAll(PeerMessage message) {
+    Buffer frame = PeerCodec.encode(message);
+    links.values().forEach(link -> link.send(frame));
+  }
+
+  /**
+   * Sends a message to the peers that were sent nothing for {@link #KEEP_ALIVE}. Without it they
+   * would close the connection as half-open.
+   *
+   * @param message message
+   */
+  public void sendToIdle(PeerMessage message) {
+    Instant limit = clock.instant().minus(KEEP_ALIVE);
+    List<PeerLink> idle = links.values().stream().filter(link -> link.isIdleSince(limit)).toList();
+    if (!idle.isEmpty()) {
+      Buffer frame = PeerCodec.encode(message);
+      idle.forEach(link -> link.send(frame));
+    }
+  }
+
   /**
    * Returns the peers that this daemon connects to.
    *
