Ping the next members in regions of more than 8, not of more than 32

Cause: pings and their answers are most messages of an idle daemon; up to 32 members of a region each pinged all others. The region of 266 members of the planned size always used the ring, in which a node pings the next 3. Ruled out: a longer ping interval, because detection after 2 s of missed pings would rest on fewer pings; answers that count as pings, because an answer must be to a ping of the owner itself. Change: the ring starts above 8 members. The current deployments have at most 8 VMs, so nothing changes for them. The sorted members are kept between records. FaultPairsTest, LeaseTest and TenuresTest pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
@@ -52,6 +52,7 @@
   private final Map<ShardId, Handover> handovers = new TreeMap<>();
   private Member self;
   private Membership membership = Membership.EMPTY;
+  private List<RunId> regionRuns = List.of();
   private Optional<Membership.Entry> own = Optional.empty();
   private Optional<String> knownBoot = Optional.empty();
   private long nextOffset;
@@ -100,6 +101,8 @@
     knownBoot = state.newestBoot(self.node());
     if (membershipChanged) {
       own = membership.find(run());
+      regionRuns =
+          membership.inRegion(self.region()).stream().map(Membership.Entry::run).sorted().toList();
       peers.membershipChanged(membership, now);
       appends.keySet().removeIf(record -> !isPending(record));
     }
@@ -302,18 +305,14 @@
    * order up to a number of responsive ones.
    */
   private List<RunId> pinged(Instant now) {
-    List<Membership.Entry> others =
-        membership.inRegion(self.region()).stream()
-            .filter(entry -> !entry.run().equals(run()))
-            .sorted(Comparator.comparing(Membership.Entry::run))
-            .toList();
+    RunId thisRun = run();
+    List<RunId> others = regionRuns.stream().filter(run -> !run.equals(thisRun)).toList();
     boolean needsAll =
         others.size() < settings.meshMembers()
             || standing().equals(Optional.of(MemberStanding.JOINED))
             || (!tenures.owned().isEmpty()
                 && !isFresh(logReadAt, settings.lease().dividedBy(2), now));
-    List<RunId> runs = others.stream().map(Membership.Entry::run).toList();
-    return needsAll ? runs : monitored(runs, now);
+    return needsAll ? others : monitored(others, now);
   }
 
   private List<RunId> monitored(List<RunId> sorted, Instant now) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipSettings.java
@@ -38,7 +38,7 @@
           Duration.ofMillis(500),
           Duration.ofSeconds(1),
           3,
-          32);
+          8);
 
   /**
    * Returns D: how long a successor waits after it read the record that made it the owner.
