Fit the capacity slopes over four sizes or more and print residuals

Change: fit-slopes fits a line through the points of each series and prints slope, residuals and R2. Tried and not kept: one timer for all periodic work of the control plane, 10 instead of 17 wake-ups a second.

--- a/cactusseam-core/src/test/java/org/cactusseam/logic/membership/ControlBenchmark.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/membership/ControlBenchmark.java
@@ -1,11 +1,13 @@
 package org.cactusseam.logic.membership;
 
+import java.lang.management.ManagementFactory;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.IntConsumer;
+import java.util.stream.IntStream;
 import org.cactusseam.logic.control.ControlState;
 import org.cactusseam.model.AccountName;
 import org.cactusseam.model.BackendKind;
@@ -25,7 +27,11 @@
 import org.cactusseam.model.control.ControlRecord;
 import org.cactusseam.model.control.Member;
 
-/** Measures the slopes of the control state for the capacity page. Run as a program. */
+/**
+ * Measures the control state at several sizes for the capacity page: processor time of the thread,
+ * which other work on the machine disturbs less than elapsed time. Run as a program; its output
+ * goes through {@code fit-slopes}, which prints the slope of each series and its residuals.
+ */
 final class ControlBenchmark {
 
   private static final int DOMAINS = 10;
@@ -36,33 +42,85 @@
 
   private ControlBenchmark() {}
 
+  /** Size of a deployment; one of the numbers varies within a series. */
+  private record Size(int nodes, int servers, int accounts, int keys) {}
+
+  /** Number that varies within a series, for the names of the points. */
+  private record Axis(String name, int value) {}
+
+  /**
+   * Runs the benchmark.
+   *
+   * @param arguments names of the series: heap, nodes, servers, accounts, keys; all without any
+   */
   public static void main(String[] arguments) {
-    for (int servers : List.of(11, 500, 3_200)) {
-      for (int nodes : List.of(8, 100, 800)) {
-        records(nodes, servers);
+    List<String> all = List.of("heap", "nodes", "servers", "accounts", "keys");
+    for (String series : arguments.length == 0 ? all : List.of(arguments)) {
+      run(series);
+    }
+  }
+
+  private static void run(String series) {
+    if (series.equals("heap")) {
+      // First, because garbage and compiled code of others would be part of the difference.
+      heaps();
+      return;
+    }
+    records(new Axis("warm-up", 0), new Size(20, 200, 200, 1));
+    switch (series) {
+      case "nodes" -> {
+        for (int nodes : List.of(8, 100, 400, 800)) {
+          records(new Axis("nodes", nodes), new Size(nodes, 500, 630, 1));
+        }
       }
+      case "servers" -> {
+        for (int servers : List.of(11, 200, 800, 1_600, 3_200)) {
+          records(new Axis("servers", servers), new Size(100, servers, 630, 1));
+        }
+      }
+      case "accounts" -> {
+        for (int accounts : List.of(100, 630, 2_000, 5_000)) {
+          records(new Axis("accounts", accounts), new Size(8, 100, accounts, 1));
+        }
+      }
+      case "keys" -> {
+        for (int keys : List.of(1, 4, 8, 16)) {
+          records(new Axis("keys of each account", keys), new Size(8, 100, 630, keys));
+        }
+      }
+      default -> throw new IllegalArgumentException("no series " + series);
     }
-    for (int objects : List.of(1_000, 5_000)) {
-      heap("configuration object (account)", objects, 0, objects);
+  }
+
+  private static void heaps() {
+    heap(new Axis("warm-up", 0), new Size(10, 10, 10, 1));
+    for (int accounts : List.of(100, 630, 2_000, 5_000)) {
+      heap(new Axis("accounts", accounts), new Size(0, 0, accounts, 1));
     }
-    for (int members : List.of(100, 800)) {
-      heap("member", members, members, 0);
+    for (int keys : List.of(1, 4, 8, 16)) {
+      heap(new Axis("keys of each of 630 accounts", keys), new Size(0, 0, 630, keys));
+    }
+    for (int members : List.of(100, 200, 400, 800)) {
+      heap(new Axis("members", members), new Size(members, 0, 0, 1));
+    }
+    for (int servers : List.of(400, 800, 1_600, 3_200)) {
+      heap(new Axis("servers", servers), new Size(0, servers, 0, 1));
     }
   }
 
-  private static ControlState state(int nodes, int servers, int accounts) {
+  private static ControlState state(Size size) {
     ControlState state = new ControlState();
     put(state, new PriorityClass(new PriorityClassName("gold"), 0, false));
     for (int number = 0; number < DOMAINS; number++) {
       put(state, domain(number, ServiceState.IN));
     }
-    for (int number = 0; number < servers; number++) {
+    for (int number = 0; number < size.servers(); number++) {
       put(state, server(number));
     }
-    for (int number = 0; number < accounts; number++) {
-      put(state, account(number, 1));
+    for (int number = 0; number < size.accounts(); number++) {
+      put(state, account(number, 1, size.keys()));
     }
-    for (int number = 0; number < nodes; number++) {
+    for (int number = 0; number < size.nodes(); number++) {
       join(state, number, 0);
     }
     return state;
@@ -115,25 +173,37 @@
         ServiceState.IN);
   }
 
-  private static ClientAccount account(int number, int share) {
+  private static ClientAccount account(int number, int share, int keys) {
     return new ClientAccount(
         new AccountName("account-" + number),
         new PriorityClassName("gold"),
         share,
-        List.of(String.format(Locale.ROOT, "%064x", number)));
+        IntStream.range(0, keys)
+            .mapToObj(key -> String.format(Locale.ROOT, "%032x%032x", number, key))
+            .toList());
+  }
+
+  private static void records(Axis axis, Size size) {
+    ControlState state = state(size);
+    int nodes = size.nodes();
+    int accounts = size.accounts();
+    time(
+        axis,
+        "account change",
+        2_000,
+        step -> put(state, account(step % accounts, step, size.keys())));
+    time(axis, "domain taken out or in", 2_000, step -> put(state, flipped(state, step)));
+    time(axis, "server change", 200, step -> put(state, server(step % size.servers())));
+    membership(axis, state, nodes);
+    time(axis, "shard map", 20, step -> ShardMap.of(state.configuration()));
   }
 
-  private static void records(int nodes, int servers) {
-    ControlState state = state(nodes, servers, 630);
-    System.out.printf(
-        "%d nodes, %d servers, %d shards:%n", nodes, servers, state.owners().owners().size());
-    time("account change", 2_000, step -> put(state, account(step % 630, step)));
-    time("domain taken out or in", 2_000, step -> put(state, flipped(state, step)));
-    time("server change", 500, step -> put(state, server(step % servers)));
+  private static void membership(Axis axis, ControlState state, int nodes) {
     int[] run = {0};
     time(
+        axis,
         "restart of a node (join and activate)",
-        200,
+        100,
         step -> {
           run[0]++;
           join(state, step % nodes, run[0]);
@@ -145,8 +215,9 @@
         new MembershipCoordinator(self, MembershipSettings.DEFAULT, clock);
     coordinator.applied(state);
     time(
+        axis,
         "the same, with a coordinator",
-        200,
+        100,
         step -> {
           run[0]++;
           Member member = member(1 + step % (nodes - 1), run[0]);
@@ -156,15 +227,15 @@
           coordinator.applied(state);
         });
     coordinator.logRead(clock.instant(), true);
-    time("tick of a coordinator that reads the log", 200, step -> tick(coordinator));
+    time(axis, "tick of a coordinator that reads the log", 200, step -> tick(coordinator));
     List<ShardId> shards = List.copyOf(state.owners().owners().keySet());
     List<Member> active = state.membership().active();
     time(
+        axis,
         "owners of all shards, computed anew",
         20,
         step -> shards.forEach(shard -> Ownership.ownerOf(shard, active)));
-    time("question whether to grant", 10_000, step -> coordinator.mayGrant(shards.get(0)));
-    time("shard map", 50, step -> ShardMap.of(state.configuration()));
+    time(axis, "question whether to grant", 10_000, step -> coordinator.mayGrant(shards.get(0)));
   }
 
   private static void tick(MembershipCoordinator coordinator) {
@@ -178,31 +249,35 @@
     return domain.withState(known == ServiceState.IN ? ServiceState.OUT : ServiceState.IN);
   }
 
-  private static void time(String what, int count, IntConsumer action) {
+  private static void time(Axis axis, String what, int count, IntConsumer action) {
     List<Long> nanos = new ArrayList<>();
     for (int repeat = 0; repeat < WARM_UP + REPEATS; repeat++) {
-      long start = System.nanoTime();
+      long start = processorNanos();
       for (int step = 0; step < count; step++) {
         action.accept(step);
       }
-      nanos.add((System.nanoTime() - start) / count);
+      nanos.add((processorNanos() - start) / count);
     }
     List<Long> measured = nanos.subList(WARM_UP, nanos.size()).stream().sorted().toList();
-    System.out.printf(
-        "  %-40s %,12d ns (median of %d, %,d to %,d)%n",
-        what, measured.get(REPEATS / 2), REPEATS, measured.getFirst(), measured.getLast());
+    point(axis, what, measured.get(REPEATS / 2), "ns");
+  }
+
+  private static long processorNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
+  private static void point(Axis axis, String what, long value, String unit) {
+    if (axis.value() > 0) {
+      System.out.printf("point|%s by %s|%d|%d|%s%n", what, axis.name(), axis.value(), value, unit);
+    }
   }
 
-  private static void heap(String what, int count, int nodes, int accounts) {
+  private static void heap(Axis axis, Size size) {
     long before = used();
-    ControlState base = state(0, 0, 0);
-    long empty = used() - before;
-    before = used();
-    ControlState full = state(nodes, 0, accounts);
-    long bytes = used() - before - empty;
-    System.out.printf("%d of %s: %,d bytes each%n", count, what, bytes / count);
-    if (base.nextOffset() >= full.nextOffset()) {
-      throw new IllegalStateException("the states must stay reachable until here");
+    ControlState state = state(size);
+    point(axis, "heap", used() - before, "bytes");
+    if (state.nextOffset() == 0) {
+      throw new IllegalStateException("the state must stay reachable until here");
     }
   }
 
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecBenchmark.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecBenchmark.java
@@ -1,8 +1,20 @@
 package org.cactusseam.edge.peer;
 
+import java.lang.management.ManagementFactory;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.IntFunction;
+import java.util.stream.LongStream;
+import org.cactusseam.model.PoolName;
+import org.cactusseam.model.RegionName;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.admission.ShardLoad;
 import org.cactusseam.model.message.PeerMessage;
 
-/** Prints bytes and processor time of each kind of message between entry daemons. */
+/**
+ * Prints bytes and processor time of the thread for each kind of message between entry daemons, and
+ * points of the messages that grow, whose slopes {@code fit-slopes} prints with residuals.
+ */
 final class PeerCodecBenchmark {
 
   private static final int WARM_UP = 20_000;
@@ -13,6 +25,41 @@
   public static void main(String[] arguments) {
     System.out.printf("%-20s %6s %12s %12s%n", "message", "bytes", "encode_ns", "decode_ns");
     PeerCodecTest.messages().forEach(PeerCodecBenchmark::measure);
+    series("inventory by attempts", List.of(1, 50, 200, 590), PeerCodecBenchmark::inventory);
+    series("loads by shards", List.of(1, 4, 16, 64), PeerCodecBenchmark::loads);
+  }
+
+  private static ShardId shard(int number) {
+    return new ShardId(new PoolName("zopf-llm"), new RegionName("ost"), number);
+  }
+
+  private static PeerMessage inventory(int attempts) {
+    List<PeerMessage.OpenAttempt> open =
+        LongStream.range(0, attempts)
+            .mapToObj(number -> new PeerMessage.OpenAttempt(1_000_000 + number, 700 + number))
+            .toList();
+    return new PeerMessage.Inventory(shard(0), "01a23f78a738c8f1", open);
+  }
+
+  private static PeerMessage loads(int shards) {
+    ShardLoad load = new ShardLoad(0, 3, 64, 20.5, Collections.nCopies(4, 0L));
+    return new PeerMessage.Loads(
+        LongStream.range(0, shards)
+            .mapToObj(number -> new PeerMessage.LoadOf(shard((int) number), load))
+            .toList());
+  }
+
+  private static void series(String name, List<Integer> sizes, IntFunction<PeerMessage> message) {
+    for (int size : sizes) {
+      byte[] frame = PeerCodec.encode(message.apply(size)).getBytes();
+      byte[] value = java.util.Arrays.copyOfRange(frame, PeerCodec.LENGTH_BYTES, frame.length);
+      encode(message.apply(size), WARM_UP / size);
+      decode(value, WARM_UP / size);
+      System.out.printf("point|%s, bytes|%d|%d|bytes%n", name, size, frame.length);
+      long encoded = encode(message.apply(size), ROUNDS / size);
+      System.out.printf("point|%s, encoding|%d|%d|ns%n", name, size, encoded);
+      System.out.printf("point|%s, decoding|%d|%d|ns%n", name, size, decode(value, ROUNDS / size));
+    }
   }
 
   private static void measure(PeerMessage message) {
@@ -28,21 +75,25 @@
         decode(value, ROUNDS));
   }
 
+  private static long processorNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
   private static long encode(PeerMessage message, int rounds) {
-    long start = System.nanoTime();
+    long start = processorNanos();
     long bytes = 0;
     for (int round = 0; round < rounds; round++) {
       bytes += PeerCodec.encode(message).length();
     }
-    return bytes == 0 ? 0 : (System.nanoTime() - start) / rounds;
+    return bytes == 0 ? 0 : (processorNanos() - start) / rounds;
   }
 
   private static long decode(byte[] value, int rounds) {
-    long start = System.nanoTime();
+    long start = processorNanos();
     long decoded = 0;
     for (int round = 0; round < rounds; round++) {
       decoded += PeerCodec.decode(value).isSuccess() ? 1 : 0;
     }
-    return decoded == 0 ? 0 : (System.nanoTime() - start) / rounds;
+    return decoded == 0 ? 0 : (processorNanos() - start) / rounds;
   }
 }
