--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -68,6 +68,7 @@
   private final CacheEventReader cacheEvents;
   private final OwnedShards owned;
   private final ShardLoads shardLoads = new ShardLoads();
+  private final LoadPublisher publisher;
   private final QuarantineDesk quarantine;
   private final PeerQueries queries;
   private final CommandDesk commands;
@@ -127,6 +128,7 @@
     this.owned =
         new OwnedShards(
             clock, CoreSettings.admission(settings), coordinator::mayGrant, this::send, quarantine);
+    this.publisher = new LoadPublisher(clock, owned::loads, shardLoads, this::sendToPeers);
     LoadPoller poller = new LoadPoller(vertx);
     this.loads = new LoadProbes(clock, poller, owned, quarantine, () -> view.shards());
     this.cacheEvents = new CacheEventReader(poller, owned);
@@ -272,8 +274,12 @@
       network.peers().forEach(peer -> network.send(peer, new PeerMessage.RecordsRequest(-1)));
     }
     commands.appendPending();
-    // Links to other regions carry no pings; without traffic the peer closes them as half-open.
-    sendToPeers(status());
+    // Peers without suspicions have nothing to compare; only links without pings need traffic.
+    if (quarantine.knowsSuspicions()) {
+      sendToPeers(status());
+    } else {
+      network.sendToIdle(status());
+    }
     List<NodeName> active = log.state().membership().active().stream().map(Member::node).toList();
     if (active.contains(self.node())) {
       log.snapshotIfDue(clock.millis(), Ownership.rank("snapshot", self.node(), active));
@@ -324,16 +330,8 @@
     configureShards();
   }
 
-  private void publishLoads() {
-    List<PeerMessage.LoadOf> current = owned.loads();
-    if (!current.isEmpty()) {
-      shardLoads.published(current);
-      sendToPeers(new PeerMessage.Loads(current));
-    }
-  }
-
   private void pollBackendServers() {
-    publishLoads();
+    publisher.publish();
     loads.pollAll();
     for (ShardId shard : List.copyOf(owned.owned())) {
       cacheEvents.poll(shard, view.shards().shards().getOrDefault(shard, List.of()));
@@ -345,7 +343,7 @@
   }
 
   private void sendToPeers(PeerMessage message) {
-    network.peers().forEach(peer -> network.send(peer, message));
+    network.sendToAll(message);
   }
 
   private void readList() {
