Stop the stand-ins when the benchmark's VM list does not start

Cause: a run whose VM list could not bind its port (another process of the machine took it) left six engine processes behind, because the list was awaited outside the block that stops everything. Change: the list is awaited and filled inside that block. Ruled out: other ways to choose ports; the choice cannot be free of races with other processes.

--- a/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
@@ -51,21 +51,12 @@
     }
     int peer = FreePorts.next();
     writeFiles(log, list, peer);
-    awaitStatus(list, "/vms");
-    exchange(
-        request(list, "/vms")
-            .header("Content-Type", "application/json")
-            .PUT(
-                HttpRequest.BodyPublishers.ofString(
-                    ("{\"vms\":[{\"name\":\"entry-1\",\"host\":\"127.0.0.1\",\"peer_port\":%d,"
-                            + "\"failure_domain\":\"ost-wien\",\"region\":\"ost\","
-                            + "\"state\":\"live\"}]}")
-                        .formatted(peer))));
     List<String> arguments =
         List.of("serve", "--settings", folder.resolve("entry-1.yaml").toString());
-    daemon = BenchmarkProcess.start(folder, "entry-1", daemonOptions, daemonJar, arguments);
-    processes.addFirst(daemon);
     try {
+      announce(list, peer);
+      daemon = BenchmarkProcess.start(folder, "entry-1", daemonOptions, daemonJar, arguments);
+      processes.addFirst(daemon);
       awaitStatus(callerPort, "/ready");
       declare(streamsPerEngine);
     } catch (RuntimeException e) {
@@ -75,6 +66,20 @@
     }
   }
 
+  /** Tells the list of VMs that the daemon's VM is live. */
+  private void announce(int list, int peer) {
+    awaitStatus(list, "/vms");
+    exchange(
+        request(list, "/vms")
+            .header("Content-Type", "application/json")
+            .PUT(
+                HttpRequest.BodyPublishers.ofString(
+                    ("{\"vms\":[{\"name\":\"entry-1\",\"host\":\"127.0.0.1\",\"peer_port\":%d,"
+                            + "\"failure_domain\":\"ost-wien\",\"region\":\"ost\","
+                            + "\"state\":\"live\"}]}")
+                        .formatted(peer))));
+  }
+
   private static String sha256(String text) {
     return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
   }
