Release the body of a request when its stream has begun

Cause: the handlers that read the body stay registered with the request and held the routing context, the parsed body and its bytes for the whole stream; the model request held a second copy of the parsed body. A class histogram of 1,000 streams (trial) showed a routing context and its maps for each stream. Change: the handlers are removed when the model request starts, the body to send is kept as bytes and dropped with the first token, after which the request is never sent again. The time of the next progress report is a number.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -212,6 +213,7 @@
   }
 
   private void startModel(RoutingContext context, RequestInfo info, JsonObject body) {
+    forgetBody(context.request());
     HttpServerResponse response = context.response();
     response.putHeader(Headers.REQUEST, info.id());
     response.exceptionHandler(cause -> {});
@@ -236,6 +238,13 @@
     request.start();
   }
 
+  /**
+   * The handlers of the body would hold it, and all that was parsed, as long as the stream lasts.
+   */
+  private static void forgetBody(HttpServerRequest request) {
+    request.handler(null).endHandler(null).exceptionHandler(null);
+  }
+
   private int eventsPerStream() {
     return services.settings().limits().eventsPerStream();
   }
@@ -251,10 +260,9 @@
   }
 
   private SlowReaderGuard slowReader(HttpServerRequest request) {
+    HttpConnection connection = request.connection();
     return new SlowReaderGuard(
-        vertx,
-        services.settings().limits().slowReaderTimeout(),
-        () -> request.connection().close());
+        vertx, services.settings().limits().slowReaderTimeout(), connection::close);
   }
 
   private void resume(RoutingContext context) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -11,7 +12,7 @@
 import io.vertx.core.json.JsonObject;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.time.Instant;
+import java.util.Objects;
 import java.util.Optional;
 import org.cactusseam.edge.backend.GenerationRelay;
 import org.cactusseam.edge.backend.Headers;
@@ -31,7 +32,7 @@
 final class ModelRequest implements AttemptLoop.Sender, GenerationRelay.Sink {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-  private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
+  private static final long REPORT_INTERVAL_MILLIS = 500;
   private static final int STATUS_OK = 200;
   private static final int STATUS_CLIENT_ERROR = 400;
   private static final int STATUS_SERVER_ERROR = 500;
@@ -43,7 +44,7 @@
   private final CallerServices services;
   private final HttpClient client;
   private final RequestInfo info;
-  private final JsonObject body;
+  private @Nullable Buffer body;
   private final Answer answer;
   private final ActiveRequests.Entry entry;
   private final AttemptLoop attempts;
@@ -54,7 +55,7 @@
   private @Nullable GenerationRelay relay;
   private @Nullable GenerationId generation;
   private final Context loop = Vertx.currentContext();
-  private Instant nextReport = Instant.MIN;
+  private long nextReportMillis = Long.MIN_VALUE;
   private boolean ended;
 
   ModelRequest(
@@ -69,7 +70,7 @@
     this.gate = gate;
     this.client = client;
     this.info = info;
-    this.body = body.copy().put("stream", true);
+    this.body = body.copy().put("stream", true).toBuffer();
     this.answer = answer;
     this.slowReader = slowReader;
     this.journal = new RequestJournal(services.clock(), services.metrics(), info);
@@ -146,7 +147,7 @@
         Headers.PRIORITY,
         Integer.toString(services.view().get().rankOf(info.account().priorityClass())));
     request.putHeader(Headers.FENCING_NUMBER, Long.toString(attempt.permit().epoch()));
-    Future<HttpClientResponse> response = request.send(body.toBuffer());
+    Future<HttpClientResponse> response = request.send(Objects.requireNonNull(body));
     response
         .onSuccess(head -> head(attempt, head))
         .onFailure(cause -> brokenBeforeHead(attempt, cause));
@@ -238,6 +239,7 @@
   @Override
   public void token(long index, String data) {
     if (generation != null && current != null) {
+      forgetBody();
       answer.token(generation, index, data);
       journal.token();
       entry.streaming(index + 1);
@@ -245,14 +247,21 @@
     }
   }
 
+  /** A request that has delivered a token is not sent again, and prompts are long. */
+  private void forgetBody() {
+    if (body != null) {
+      body = null;
+    }
+  }
+
   /**
    * Inventories carry progress once a second; a report for each token would only wake the control
    * thread.
    */
   private void reportProgress(PermitRequestId attempt, long tokens) {
-    Instant now = services.clock().instant();
-    if (!now.isBefore(nextReport)) {
-      nextReport = now.plus(REPORT_INTERVAL);
+    long now = services.clock().millis();
+    if (now >= nextReportMillis) {
+      nextReportMillis = now + REPORT_INTERVAL_MILLIS;
       services.admission().progress(attempt, tokens);
     }
   }
