Take events from the read bytes without copies

Cause: the record parser of the HTTP library copied each event three times, the event parser built a list of lines and a text builder, and each token stored two new time objects and a new state text in objects of the old generation, which every young collection then has to scan. The Flight Recorder (trial) showed 97 MB of allocation a second at 21,300 tokens a second, 4.5 KB a token, and a young collection of 4 ms or more every 0.7 s, which is about the share of time that p99 sees. Change: EventSplitter takes whole events from the read; the event parser cuts the block once; times that change with each token are numbers. The checks of order, generation and whole answer are unchanged. Ruled out: several events of one read in one write, because reads hold one event unless the daemon lags behind; a streaming JSON parser, because only the last chunk is parsed.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/GenerationRelay.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/GenerationRelay.java
@@ -1,17 +1,13 @@
 package org.cactusseam.edge.backend;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
-import io.vertx.core.parsetools.RecordParser;
 import java.time.Clock;
-import java.time.Duration;
-import java.time.Instant;
 import java.util.Optional;
 import org.cactusseam.logic.stream.GenerationId;
 import org.cactusseam.logic.stream.TokenSequencer;
@@ -64,7 +60,7 @@
   }
 
   /** An engine that is unreachable for longer has lost the stream or drops it soon. */
-  private static final Duration RESUME_WINDOW = Duration.ofSeconds(10);
+  private static final long RESUME_WINDOW_MILLIS = 10_000;
 
   private static final long RESUME_INTERVAL_MILLIS = 200;
 
@@ -86,7 +82,10 @@
   private final TokenSequencer sequencer;
   private @Nullable HttpClientResponse attached;
   private @Nullable String finish;
-  private Instant resumeDeadline;
+
+  /** A number, because an object for each token would cost time in every collection. */
+  private long resumeDeadlineMillis;
+
   private long attachment;
   private long stallTimer = -1;
   private boolean ended;
@@ -117,7 +116,7 @@
     this.generation = generation;
     this.sink = sink;
     this.sequencer = new TokenSequencer(nextIndex);
-    this.resumeDeadline = clock.instant().plus(RESUME_WINDOW);
+    this.resumeDeadlineMillis = clock.millis() + RESUME_WINDOW_MILLIS;
   }
 
   /**
@@ -128,11 +127,14 @@
   public void attach(HttpClientResponse response) {
     long current = ++attachment;
     attached = response;
-    RecordParser events = RecordParser.newDelimited("\n\n", response);
-    events.maxRecordSize(MAXIMUM_EVENT_BYTES);
-    events.exceptionHandler(cause -> broken(current, String.valueOf(cause.getMessage())));
-    events.endHandler(ignored -> broken(current, "the stream ended early"));
-    events.handler(block -> event(current, block));
+    EventSplitter events =
+        new EventSplitter(
+            MAXIMUM_EVENT_BYTES,
+            block -> event(current, block),
+            () -> broken(current, "an event is too long"));
+    response.exceptionHandler(cause -> broken(current, String.valueOf(cause.getMessage())));
+    response.endHandler(ignored -> broken(current, "the stream ended early"));
+    response.handler(events);
     watchStall(current);
   }
 
@@ -188,7 +190,7 @@
     if (ended || current != attachment) {
       return;
     }
-    if (clock.instant().isAfter(resumeDeadline)) {
+    if (clock.millis() > resumeDeadlineMillis) {
       lose("the engine cannot be reached: " + reason);
       return;
     }
@@ -201,14 +203,14 @@
         });
   }
 
-  private void event(long current, Buffer block) {
+  private void event(long current, String block) {
     if (ended || current != attachment) {
       return;
     }
-    resumeDeadline = clock.instant().plus(RESUME_WINDOW);
+    resumeDeadlineMillis = clock.millis() + RESUME_WINDOW_MILLIS;
     ServerSentEvent event;
     try {
-      event = ServerSentEvent.parse(block.toString());
+      event = ServerSentEvent.parse(block);
     } catch (NumberFormatException e) {
       broken(current, "event without a token index");
       return;
@@ -351,7 +353,7 @@
 
   private void watchStall(long current) {
     stopTimers();
-    Instant seen = resumeDeadline;
+    long seen = resumeDeadlineMillis;
     stallTimer =
         vertx.setTimer(
             STALL_MILLIS,
@@ -359,7 +361,7 @@
               if (ended || current != attachment) {
                 return;
               }
-              if (seen.equals(resumeDeadline) && !sink.isFull()) {
+              if (seen == resumeDeadlineMillis && !sink.isFull()) {
                 resume();
               } else {
                 watchStall(current);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/ServerSentEvent.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/ServerSentEvent.java
@@ -26,20 +26,29 @@
    */
   public static ServerSentEvent parse(String block) {
     OptionalLong index = OptionalLong.empty();
-    StringBuilder data = new StringBuilder();
-    @Nullable String separator = null;
-    for (String line : block.split("\n", -1)) {
-      if (line.startsWith(ID_FIELD)) {
-        index = OptionalLong.of(Long.parseLong(line.substring(ID_FIELD.length()).trim()));
-      } else if (line.startsWith(DATA_FIELD)) {
-        if (separator != null) {
-          data.append(separator);
-        }
-        separator = "\n";
-        data.append(line.substring(DATA_FIELD.length()).stripLeading());
+    @Nullable String data = null;
+    int start = 0;
+    while (start <= block.length()) {
+      int found = block.indexOf('\n', start);
+      int end = found < 0 ? block.length() : found;
+      if (block.startsWith(ID_FIELD, start)) {
+        index =
+            OptionalLong.of(Long.parseLong(block.substring(start + ID_FIELD.length(), end).trim()));
+      } else if (block.startsWith(DATA_FIELD, start)) {
+        String line = block.substring(valueStart(block, start + DATA_FIELD.length(), end), end);
+        data = data == null ? line : data + "\n" + line;
       }
+      start = end + 1;
     }
-    return new ServerSentEvent(index, data.toString());
+    return new ServerSentEvent(index, data == null ? "" : data);
+  }
+
+  private static int valueStart(String block, int from, int end) {
+    int start = from;
+    while (start < end && Character.isWhitespace(block.charAt(start))) {
+      start++;
+    }
+    return start;
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ActiveRequests.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ActiveRequests.java
@@ -46,6 +46,8 @@
 
   /** State of one request, written by its event loop and read by any thread. */
   static final class Entry {
+    private static final String STREAMING = "streaming";
+
     private final RequestInfo info;
     private final Leaver leaver;
     private volatile String server = "";
@@ -69,7 +71,9 @@
 
     void streaming(long newTokens) {
       tokens = newTokens;
-      state = "streaming";
+      if (!STREAMING.equals(state)) {
+        state = STREAMING;
+      }
     }
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/RequestJournal.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/RequestJournal.java
@@ -4,23 +4,26 @@
 
 import java.time.Clock;
 import java.time.Duration;
-import java.time.Instant;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.metrics.RequestMetrics;
 import org.cactusseam.edge.metrics.RequestRecorder;
 import org.cactusseam.model.Refusal;
-import org.jspecify.annotations.Nullable;
 
 /** Measures and logs one request, so that its handlers need not. */
 final class RequestJournal {
 
   private static final StructuredLog LOG = StructuredLog.of(RequestJournal.class);
 
+  private static final long NO_TOKEN = Long.MIN_VALUE;
+
   private final Clock clock;
   private final RequestInfo info;
   private final RequestRecorder recorder;
   private final StructuredLog log;
-  private @Nullable Instant previousToken;
+
+  /** A number, because an object for each token would cost time in every collection. */
+  private long previousTokenNanos = NO_TOKEN;
+
   private boolean permitted;
 
   RequestJournal(Clock clock, RequestMetrics metrics, RequestInfo info) {
@@ -39,13 +42,13 @@
   }
 
   void token() {
-    Instant now = clock.instant();
-    if (previousToken == null) {
-      recorder.firstToken(Duration.between(info.arrival(), now));
+    long sinceArrival = Duration.between(info.arrival(), clock.instant()).toNanos();
+    if (previousTokenNanos == NO_TOKEN) {
+      recorder.firstToken(Duration.ofNanos(sinceArrival));
     } else {
-      recorder.nextToken(Duration.between(previousToken, now));
+      recorder.nextToken(Duration.ofNanos(sinceArrival - previousTokenNanos));
     }
-    previousToken = now;
+    previousTokenNanos = sinceArrival;
   }
 
   void ended(long tokens, String end) {
