--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -100,7 +100,7 @@
   /**
    * Returns the options of the server without TLS. Each answer is written by the event loop of its
    * connection; the strict thread mode relies on this and saves the queue for writes of other
-   * threads, 4.4 KB for each connection.
+   * threads, 4.7 KB for each connection.
    *
    * @param headerBytes greatest length of all headers of a request
    * @return options
