Report requests granted between a broken stream and the crash

Cause: the suspects of a possible crash were copied when the first stream broke. If that break was a fault of the network, a request granted after it could crash the server before the poll that clears the suspicion; it was missing from the report, its failure was passed on at once, and a companion could stand alone in the report and be convicted for it. A later break was also cleared by an answer to a question asked before it.

Change: the report holds the suspects and all attempts that have not ended when the crash is found; a later break joins the open suspicion and moves its time forward. An attempt that the next run confirms is no suspect and stays watched in that run, also if it was granted before the break.

Ruled out: adding every running attempt at each later break, because the suspects are forgotten by a refused connection and a request that reaches the next run would no longer be watched (its test is in the class). Leaving it as harmless: the first report can lack the cause, see above.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ServerRuns.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ServerRuns.java
@@ -58,8 +58,13 @@
       former.clear();
       return Optional.of(crash);
     }
-    if (running.containsKey(attempt) && suspected == null) {
-      suspected = new Suspected(now, new HashMap<>(running));
+    String fingerprint = running.get(attempt);
+    if (fingerprint != null) {
+      Map<PermitRequestId, String> attempts =
+          suspected == null ? new HashMap<>(running) : suspected.attempts;
+      attempts.put(attempt, fingerprint);
+      // Only an answer to a question after the latest break says that the server survived it.
+      suspected = new Suspected(now, attempts);
     }
     running.remove(attempt);
     return Optional.empty();
@@ -77,6 +82,9 @@
 
   /** Notes the head of a response to an attempt. */
   Optional<Crash> confirmed(PermitRequestId attempt, String heard, Instant now) {
+    if (!heard.equals(incarnation) && !heard.equals(formerIncarnation)) {
+      return confirmedByNextRun(attempt, heard, now);
+    }
     Optional<Crash> crash = heard(heard, now);
     String fingerprint = former.get(attempt);
     if (fingerprint != null && heard.equals(incarnation)) {
@@ -86,6 +94,19 @@
     return crash;
   }
 
+  /** The attempt runs at the next run, so it is no suspect of the crash of this one. */
+  private Optional<Crash> confirmedByNextRun(PermitRequestId attempt, String heard, Instant now) {
+    Optional<String> fingerprint =
+        Optional.ofNullable(running.remove(attempt))
+            .or(() -> Optional.ofNullable(former.get(attempt)));
+    if (suspected != null) {
+      suspected.attempts.remove(attempt);
+    }
+    Optional<Crash> crash = heard(heard, now);
+    fingerprint.ifPresent(found -> running.put(attempt, found));
+    return crash;
+  }
+
   /**
    * Notes an incarnation.
    *
@@ -104,25 +125,31 @@
       return Optional.empty();
     }
     boolean first = "unknown".equals(incarnation);
+    Map<PermitRequestId, String> unended = Map.copyOf(running);
     Optional<Crash> crash = first && open == null ? Optional.empty() : refused();
     formerIncarnation = incarnation;
     incarnation = heard;
     if (!first) {
       former.clear();
-      former.putAll(running);
+      former.putAll(unended);
       running.clear();
     }
     return crash;
   }
 
-  /** Notes that the server refused a connection. */
+  /**
+   * Notes that the server refused a connection. An attempt that was granted after the break may
+   * have been sent before the crash, since the break itself may be a fault of the network.
+   */
   Optional<Crash> refused() {
     Suspected open = suspected;
     if (open == null) {
       return Optional.empty();
     }
     suspected = null;
+    Map<PermitRequestId, String> attempts = new HashMap<>(running);
+    attempts.putAll(open.attempts);
     running.keySet().removeAll(open.attempts.keySet());
-    return Optional.of(new Crash(incarnation, open.attempts));
+    return Optional.of(new Crash(incarnation, attempts));
   }
 }
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/control/ServerRunsTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/control/ServerRunsTest.java
@@ -10,6 +10,8 @@
 import org.cactusseam.model.admission.PermitRequestId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against missed crashes, invented crashes and reports that omit the cause. */
 class ServerRunsTest {
@@ -87,4 +89,93 @@
 
     assertThat(runs.refused(), is(Optional.of(new ServerRuns.Crash("i1", Map.of(FIRST, "first")))));
   }
+
+  private Optional<ServerRuns.Crash> detect(boolean refused) {
+    return refused ? runs.refused() : runs.heard("i2", NOW.plusMillis(9));
+  }
+
+  /** The break can be a fault of the network, and the server then crashes by the later request. */
+  @ParameterizedTest(name = "the later request broke {0}, connection refused {1}")
+  @CsvSource({"false, false", "false, true", "true, false", "true, true"})
+  void a_request_granted_between_a_break_and_the_crash_is_in_the_report(
+      boolean broke, boolean refused) {
+    runs.broke(FIRST, NOW);
+    runs.started(LATE, "late");
+    if (broke) {
+      runs.broke(LATE, NOW.plusMillis(5));
+      assertThat(runs.awaits(LATE), is(true));
+    }
+
+    assertThat(
+        detect(refused),
+        is(
+            Optional.of(
+                new ServerRuns.Crash(
+                    "i1", Map.of(FIRST, "first", SECOND, "second", LATE, "late")))));
+  }
+
+  @Test
+  void a_report_asked_for_before_a_later_break_does_not_rule_out_a_crash() {
+    runs.broke(FIRST, NOW);
+    runs.broke(SECOND, NOW.plusMillis(2));
+
+    runs.heard("i1", NOW.plusMillis(1));
+
+    assertThat(runs.isSuspected(), is(true));
+    assertThat(runs.refused(), is(crashOfBoth()));
+  }
+
+  @Test
+  void a_request_that_the_next_run_confirms_first_is_no_suspect_and_stays_watched() {
+    runs.broke(FIRST, NOW);
+    runs.started(LATE, "late");
+
+    assertThat(runs.confirmed(LATE, "i2", NOW.plusMillis(1)), is(crashOfBoth()));
+    runs.broke(LATE, NOW.plusMillis(2));
+    assertThat(
+        runs.heard("i3", NOW.plusMillis(3)),
+        is(Optional.of(new ServerRuns.Crash("i2", Map.of(LATE, "late")))));
+  }
+
+  @Test
+  void a_suspect_that_the_next_run_confirms_later_stays_watched() {
+    runs.broke(FIRST, NOW);
+    runs.started(LATE, "late");
+    runs.heard("i2", NOW.plusMillis(1));
+    runs.confirmed(LATE, "i2", NOW.plusMillis(2));
+
+    runs.broke(LATE, NOW.plusMillis(3));
+
+    assertThat(
+        runs.heard("i3", NOW.plusMillis(4)),
+        is(Optional.of(new ServerRuns.Crash("i2", Map.of(LATE, "late")))));
+  }
+
+  @Test
+  void a_request_that_was_granted_before_the_break_and_confirmed_by_the_next_run_stays_watched() {
+    runs.broke(FIRST, NOW);
+
+    assertThat(
+        runs.confirmed(SECOND, "i2", NOW.plusMillis(1)),
+        is(Optional.of(new ServerRuns.Crash("i1", Map.of(FIRST, "first")))));
+    runs.broke(SECOND, NOW.plusMillis(2));
+    assertThat(
+        runs.heard("i3", NOW.plusMillis(3)),
+        is(Optional.of(new ServerRuns.Crash("i2", Map.of(SECOND, "second")))));
+  }
+
+  @Test
+  void a_request_that_is_sent_to_the_next_run_after_a_refused_connection_stays_watched() {
+    runs.broke(FIRST, NOW);
+    runs.started(LATE, "late");
+    runs.broke(SECOND, NOW.plusMillis(1));
+    runs.refused();
+    runs.confirmed(LATE, "i2", NOW.plusMillis(2));
+
+    runs.broke(LATE, NOW.plusMillis(3));
+
+    assertThat(
+        runs.heard("i3", NOW.plusMillis(4)),
+        is(Optional.of(new ServerRuns.Crash("i2", Map.of(LATE, "late")))));
+  }
 }
