Move the streaming benchmark out of the tests

Change: it stands beside the stand-ins, in the jar that is not shipped, with the choice of free ports. The calls of the new system tests run in threads of their own as well.

--- a/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkDeployment.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/benchmark/BenchmarkDeployment.java
@@ -14,8 +14,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import org.cactusseam.standin.FreePorts;
 import org.cactusseam.standin.Json;
-import org.cactusseam.system.FreePorts;
 
 /** One entry daemon, its platform and several engines, each a process of its own. */
 final class BenchmarkDeployment implements AutoCloseable {
--- a/cactusseam-standins/src/test/java/org/cactusseam/benchmark/BenchmarkProcess.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/benchmark/BenchmarkProcess.java
@@ -52,6 +52,7 @@
   }
 
   /** Returns the bytes of the heap that are in use after forced collections. */
+  @SuppressWarnings("BanJNDI") // The agent listens on loopback, in a process started here.
   long heapAfterCollection() {
     try {
       VirtualMachine machine = VirtualMachine.attach(Long.toString(process.pid()));
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/FreePorts.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/FreePorts.java
@@ -1,4 +1,4 @@
-package org.cactusseam.system;
+package org.cactusseam.standin;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -6,9 +6,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Ports for processes that tests start. They lie below the range from which the system takes ports
- * of outgoing connections, and none is given out twice: a port that the system chose and that was
- * closed again came back for the next process, which made starts fail now and then.
+ * Ports for processes that tests and benchmarks start. They lie below the range from which the
+ * system takes ports of outgoing connections, and none is given out twice: a port that the system
+ * chose and that was closed again came back for the next process, which made starts fail now and
+ * then.
  */
 public final class FreePorts {
 
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/CutsBetweenDaemonsTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/CutsBetweenDaemonsTest.java
@@ -108,10 +108,7 @@
     Stream<String> domains = DOMAINS.values().stream().distinct().map(name -> "domain " + name);
     Stream<String> servers = DOMAINS.keySet().stream().map(name -> "server " + name);
     Stream.concat(domains, servers)
-        .map(
-            what ->
-                CompletableFuture.supplyAsync(
-                    () -> system.command("entry-1", "bring " + what + " in")))
+        .map(what -> Background.call(() -> system.command("entry-1", "bring " + what + " in")))
         .toList()
         .forEach(answer -> assertThat(answer.join(), matchesPattern("(?s)(ACCEPTED|UNCHANGED).*")));
     awaitAgreement();
@@ -245,7 +242,7 @@
   }
 
   private CompletableFuture<Order> take(String what, String entry) {
-    return CompletableFuture.supplyAsync(
+    return Background.call(
         () -> {
           String id = java.util.UUID.randomUUID().toString();
           String answer = system.command(entry, "take " + what + " out", id);
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/PeerRelays.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/PeerRelays.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.cactusseam.standin.FreePorts;
 
 /** A relay for each direction between each two daemons, so that a test can cut any set of links. */
 final class PeerRelays implements AutoCloseable {
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import org.cactusseam.standin.FreePorts;
 import org.cactusseam.standin.Json;
 
 /**
