--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipSettings.java
@@ -14,7 +14,8 @@
  * @param pingInterval time between two pings to the same member
  * @param appendRetry time after which an append whose record was not seen is repeated
  * @param monitoredMembers number of responsive members that a node pings in a large region
- * @param meshMembers members of a region up to which each node pings all others
+ * @param meshMembers members of a region up to which each node pings all others; in a larger mesh
+ *     pings are most of what an idle node sends
  */
 public record MembershipSettings(
     Duration lease,
