--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -134,14 +134,10 @@
    * below that need no forecast, so the forecasts of most servers are not read.
    */
   private @Nullable ServerState leastExpected(Attempt attempt, long now) {
-    int count = candidates.size();
+    int count = prepare();
     if (count == 0) {
       return null;
     }
-    if (count > bounds.length) {
-      bounds = new double[count];
-      extras = new double[count];
-    }
     for (int index = 0; index < count; index++) {
       ServerState server = candidates.get(index);
       extras[index] = prefill(server, now) - affinity(attempt, server);
@@ -177,18 +173,31 @@
    * returns to its share waits for. Load matters less for it, because it may displace others.
    */
   private @Nullable ServerState soonest(Attempt attempt, long now) {
-    ServerState best = null;
-    double bestCost = Double.POSITIVE_INFINITY;
-    for (ServerState server : candidates) {
+    int count = prepare();
+    for (int index = 0; index < count; index++) {
+      ServerState server = candidates.get(index);
       double prompts = server.recentPromptTokens(now) + server.uncachedTokens(attempt);
-      double cost = STREAM_PROMPT_TOKENS * server.open() + prompts;
-      if (cost < bestCost
-          && (expectedLoad(attempt, server) <= 1 || fitsByDisplacing(attempt, server))) {
-        best = server;
-        bestCost = cost;
+      bounds[index] = STREAM_PROMPT_TOKENS * server.open() + prompts;
+    }
+    for (int tried = 0; tried < count; tried++) {
+      int next = leastBound(count);
+      ServerState server = candidates.get(next);
+      if (fitsByDisplacing(attempt, server) || expectedLoad(attempt, server) <= 1) {
+        return server;
       }
+      bounds[next] = Double.POSITIVE_INFINITY;
     }
-    return best;
+    return null;
+  }
+
+  /** Makes space for the costs of all candidates and returns their number. */
+  private int prepare() {
+    int count = candidates.size();
+    if (count > bounds.length) {
+      bounds = new double[count];
+      extras = new double[count];
+    }
+    return count;
   }
 
   /** Tells whether an attempt may displace lower classes, as of the last look at its share. */
