Keep one paused clock for the replay and the tests

Cause: the replay, the tests of the core and one test of the daemon each had a clock that stands still, with the same job.

The core's tests keep to whole milliseconds.

Measured: the tests of orders, shutdown, claims, metrics and the architecture pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/PausedClock.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/PausedClock.java
@@ -1,11 +1,15 @@
 package org.cactusseam.logic.replay;
 
 import java.time.Clock;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.ZoneId;
 import java.time.ZoneOffset;
 
-/** Clock that stands still until it is set, so that a replay does not depend on the machine. */
+/**
+ * Clock that stands still until it is set, so that a replay or a test does not depend on the
+ * machine.
+ */
 public final class PausedClock extends Clock {
 
   private long millis;
@@ -13,6 +17,15 @@
   /** Creates a clock at the epoch. */
   public PausedClock() {}
 
+  /**
+   * Creates a clock.
+   *
+   * @param start time at first, in whole milliseconds
+   */
+  public PausedClock(Instant start) {
+    millis = start.toEpochMilli();
+  }
+
   /**
    * Sets the time.
    *
@@ -34,6 +47,15 @@
     setMillis(millis + milliseconds);
   }
 
+  /**
+   * Lets time pass.
+   *
+   * @param duration duration in whole milliseconds, not negative
+   */
+  public void advance(Duration duration) {
+    advance(duration.toMillis());
+  }
+
   @Override
   public long millis() {
     return millis;
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/control/InForceTrackerTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/control/InForceTrackerTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
+import org.cactusseam.logic.replay.PausedClock;
 import org.cactusseam.model.BackendKind;
 import org.cactusseam.model.FailureDomain;
 import org.cactusseam.model.NodeName;
@@ -23,7 +24,6 @@
 import org.cactusseam.model.control.ExpelReason;
 import org.cactusseam.model.control.PeerStatus;
 import org.cactusseam.model.control.RunId;
-import org.cactusseam.testing.PausedClock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/idempotency/ClaimFleet.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/idempotency/ClaimFleet.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
+import org.cactusseam.logic.replay.PausedClock;
 import org.cactusseam.model.AccountName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ResultCode;
@@ -19,7 +20,6 @@
 import org.cactusseam.model.claim.ClaimEntry;
 import org.cactusseam.model.claim.ClaimId;
 import org.cactusseam.model.claim.StoredAnswer;
-import org.cactusseam.testing.PausedClock;
 
 /** Several coordinators on one clock and one log, with the faults of a case. */
 final class ClaimFleet {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderFleet.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderFleet.java
@@ -10,12 +10,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.cactusseam.logic.replay.PausedClock;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.control.OrderOutcome;
 import org.cactusseam.model.control.OrderRecord;
 import org.cactusseam.model.control.ServerOrder;
-import org.cactusseam.testing.PausedClock;
 
 /** Two owners, one backend server and one log, with the faults of a case. */
 final class OrderFleet {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/quarantine/CrashingRequestFleet.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/quarantine/CrashingRequestFleet.java
@@ -10,10 +10,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiPredicate;
+import org.cactusseam.logic.replay.PausedClock;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.quarantine.CrashId;
-import org.cactusseam.testing.PausedClock;
 
 /** Shards with one owner each, and a request that crashes every server on which it runs. */
 final class CrashingRequestFleet {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/shutdown/ShutdownCoordinatorTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/shutdown/ShutdownCoordinatorTest.java
@@ -7,7 +7,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import org.cactusseam.testing.PausedClock;
+import org.cactusseam.logic.replay.PausedClock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/metrics/RequestMetricsTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/metrics/RequestMetricsTest.java
@@ -8,12 +8,9 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
-import java.time.Clock;
 import java.time.Duration;
-import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.List;
+import org.cactusseam.logic.replay.PausedClock;
 import org.cactusseam.model.AccountName;
 import org.cactusseam.model.PriorityClassName;
 import org.cactusseam.model.ResultCode;
@@ -24,27 +21,7 @@
 /** Guards against metrics that hide the tail, mix accounts or grow without bound. */
 class RequestMetricsTest {
 
-  /** A clock that stands still until the test moves it. */
-  private static final class SteppedClock extends Clock {
-    private Instant now = Instant.EPOCH;
-
-    @Override
-    public Instant instant() {
-      return now;
-    }
-
-    @Override
-    public ZoneId getZone() {
-      return ZoneOffset.UTC;
-    }
-
-    @Override
-    public Clock withZone(ZoneId zone) {
-      return this;
-    }
-  }
-
-  private final SteppedClock clock = new SteppedClock();
+  private final PausedClock clock = new PausedClock();
   private final RequestMetrics metrics = new RequestMetrics(clock);
 
   private RequestRecorder recorder(String account, String priorityClass) {
@@ -123,10 +100,10 @@
     String quantile = "cactusseam_account_first_token_seconds{account=\"a\",quantile=\"0.5\",}";
     recorder.firstToken(Duration.ofSeconds(2));
 
-    clock.now = clock.now.plus(HistogramReservoir.WINDOW);
+    clock.advance(HistogramReservoir.WINDOW);
     assertThat(value(quantile), closeTo(2.0, 0.02));
 
-    clock.now = clock.now.plus(HistogramReservoir.WINDOW);
+    clock.advance(HistogramReservoir.WINDOW);
     assertThat(value(quantile), is(0.0));
     assertThat(value("cactusseam_account_first_token_seconds_count{account=\"a\",}"), is(1.0));
   }
