--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/GenerationRelay.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/GenerationRelay.java
@@ -179,7 +179,7 @@
     }
   }
 
-  /** A late answer to an earlier request on a reused connection names another stream. */
+  /** An engine or a proxy before it that mixes answers up names another stream. */
   private boolean isOtherStream(HttpClientResponse response) {
     return Optional.ofNullable(response.getHeader(Headers.STREAM))
         .map(stream -> !stream.equals(generation.stream()))
