Ask owners until a command that an operator asked about is in force

Since status goes only to idle peers, a daemon hears of owners of other regions only when it asks, and it asked only while the request of an operator was open.

Ruled out: status to all peers again, which at the planned size is one of the largest lines of control; asking at every daemon that knows the command, which multiplies the questions by the number of daemons.

Change: a daemon that has told an operator to come back goes on asking the missing owners every 2 s, and "show command" waits up to 2 s for them.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +42,13 @@
 final class CommandDesk {
 
   private static final StructuredLog LOG = StructuredLog.of(CommandDesk.class);
+
+  /** Bounds the memory for commands that never come into force, such as in a lost region. */
+  private static final int MAXIMUM_UNFINISHED = 1_000;
+
+  /** A daemon that has not followed a command waits for the owners and for the permits of 1 s. */
+  private static final Duration SHOW_TIMEOUT = Duration.ofSeconds(2);
+
   private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration RESTRICTION_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration RECORD_TIMEOUT = InForceTracker.ANSWER_AFTER;
@@ -54,6 +62,10 @@
   private final PeerQueries queries;
   private final Runnable configurationChanged;
   private final Map<String, List<Promise<CommandResult>>> waiting = new HashMap<>();
+
+  /** Commands whose operators were told to come back, oldest first. */
+  private final Set<String> unfinished = new LinkedHashSet<>();
+
   private final Map<String, RestrictionRound> rounds = new HashMap<>();
 
   private static final class RestrictionRound {
@@ -97,7 +109,7 @@
     return switch (command) {
       case Command.ShowRequests query -> requests(query);
       case Command.Show show -> Future.succeededFuture(table(show));
-      case Command.ShowCommand show -> Future.succeededFuture(progress(show.commandId()));
+      case Command.ShowCommand show -> showCommand(show.commandId());
       case Command.ConfigurationOrder order -> order(order, commandId, operator);
       case Command.ServerOrder order -> serverOrder(order, commandId, operator);
     };
@@ -156,13 +168,33 @@
     return new AnswerTable(List.of("shard", "owner", "epoch", "servers"), rows);
   }
 
+  /** Owners that this daemon has not heard get a moment to answer, so that one query is enough. */
+  private Future<CommandResult> showCommand(String commandId) {
+    CommandResult known = progress(commandId);
+    return known.code() == ResultCode.RECORDED_WAITING
+        ? await(commandId, SHOW_TIMEOUT)
+        : Future.succeededFuture(known);
+  }
+
   private CommandResult progress(String commandId) {
     Optional<Verdict> verdict = log.state().verdict(commandId);
     if (verdict.isEmpty()) {
       return CommandResult.of(
           ResultCode.COMMAND_UNCERTAIN, "the log has no such command up to now");
     }
-    return result(commandId, verdict.get());
+    CommandResult result = result(commandId, verdict.get());
+    if (result.code() == ResultCode.RECORDED_WAITING) {
+      follow(commandId);
+    }
+    return result;
+  }
+
+  /** Owners state what they have applied only when asked, so that somebody has to go on asking. */
+  private void follow(String commandId) {
+    unfinished.add(commandId);
+    if (unfinished.size() > MAXIMUM_UNFINISHED) {
+      unfinished.remove(unfinished.iterator().next());
+    }
   }
 
   private CommandResult result(String commandId, Verdict verdict) {
@@ -327,9 +359,13 @@
 
   /** Waits until the log shows the command and its owners have applied it, or the time is over. */
   private Future<CommandResult> await(String commandId) {
+    return await(commandId, RECORD_TIMEOUT);
+  }
+
+  private Future<CommandResult> await(String commandId, Duration atMost) {
     Promise<CommandResult> promise = Promise.promise();
     waiting.computeIfAbsent(commandId, key -> new ArrayList<>()).add(promise);
-    vertx.setTimer(RECORD_TIMEOUT.toMillis(), timer -> timeout(commandId, promise));
+    vertx.setTimer(atMost.toMillis(), timer -> timeout(commandId, promise));
     recorded(commandId);
     return promise.future();
   }
@@ -375,10 +411,20 @@
     return !waiting.isEmpty();
   }
 
+  /**
+   * Tells whether an operator was told to come back for a command that is still not in force.
+   *
+   * @return true if there is such a command
+   */
+  boolean hasUnfinished() {
+    return !unfinished.isEmpty();
+  }
+
   /** Answers commands that came into force and appends restrictions that the log lacks. */
   void tick() {
     for (InForceEvent event : inForce.drain()) {
       if (event instanceof InForceEvent.InForce) {
+        unfinished.remove(event.commandId());
         recorded(event.commandId());
       }
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -255,18 +255,16 @@
     orders.tick(owned.owned(), view.shards());
     router.tick();
     commands.tick();
-    askMissingOwners();
+    if (commands.isWaiting()) {
+      askMissingOwners();
+    }
   }
 
   /**
    * Only the node that answers the operator asks, so that the others do not multiply the messages.
    */
   private void askMissingOwners() {
-    if (commands.isWaiting()) {
-      for (RunId run : inForce.missing()) {
-        network.send(run.node(), new PeerMessage.StatusRequest());
-      }
-    }
+    inForce.missing().forEach(run -> network.send(run.node(), new PeerMessage.StatusRequest()));
   }
 
   private void slowTick() {
@@ -274,6 +272,9 @@
       network.peers().forEach(peer -> network.send(peer, new PeerMessage.RecordsRequest(-1)));
     }
     commands.appendPending();
+    if (commands.hasUnfinished()) {
+      askMissingOwners();
+    }
     // Peers without suspicions have nothing to compare; only links without pings need traffic.
     if (quarantine.knowsSuspicions()) {
       sendToPeers(status());
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/ServingUnderFaultsTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/ServingUnderFaultsTest.java
@@ -279,6 +279,16 @@
     assertThat(winners, is(1L));
   }
 
+  /** A daemon that hears nothing of the owners by itself said "waiting" of it for ever. */
+  @Test
+  void a_command_that_is_in_force_is_shown_so_at_once_in_another_region() {
+    String id = java.util.UUID.randomUUID().toString();
+    assertThat(
+        system.command("entry-1", "take domain ost-graz out", id), containsString("ACCEPTED"));
+
+    assertThat(system.command("entry-3", "show command " + id), containsString("ACCEPTED"));
+  }
+
   @Test
   void a_fresh_daemon_serves_during_an_outage_with_the_state_of_its_peers() {
     system.fault("log", "{\"outage\":true}");
