Split the peer directory and the sending of records from the control plane

Change: who the peers are, and which control records a peer gets, are classes of their own. No change of behaviour.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -11,18 +11,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.cactusseam.edge.backend.LoadPoller;
 import org.cactusseam.edge.backend.OrderClient;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.PeerListener;
 import org.cactusseam.edge.peer.PeerNetwork;
 import org.cactusseam.edge.platform.AppendOnlyLog;
-import org.cactusseam.edge.platform.VirtualMachine;
 import org.cactusseam.edge.platform.VirtualMachineList;
 import org.cactusseam.edge.settings.Settings;
 import org.cactusseam.logic.control.InForceTracker;
-import org.cactusseam.logic.control.Membership;
 import org.cactusseam.logic.control.ProvisionalRestrictions;
 import org.cactusseam.logic.control.Verdict;
 import org.cactusseam.logic.membership.MembershipAction;
@@ -56,10 +53,11 @@
   private final Clock clock;
   private final ControlThread thread;
   private final String boot;
-  private final VirtualMachineList machines;
   private final LoadProbes loads;
   private final PeerNetwork network;
+  private final PeerDirectory directory;
   private final ControlLog log;
+  private final RecordSender records;
   private final MembershipCoordinator coordinator;
   private final InForceTracker inForce;
   private final ProvisionalRestrictions restrictions = new ProvisionalRestrictions();
@@ -105,14 +103,15 @@
     this.thread = new ControlThread(vertx);
     this.self = self;
     this.boot = self.boot();
-    this.machines = machines;
     this.network =
         new PeerNetwork(
             vertx, clock, settings.keys().cluster().bytes(), settings.deployment(), self, this);
     MembershipSettings times = CoreSettings.membership(settings);
     this.coordinator = new MembershipCoordinator(self, times, clock);
+    this.directory = new PeerDirectory(clock, machines, network, coordinator);
     this.inForce = new InForceTracker(clock, times.permitValidity());
     this.log = new ControlLog(vertx, clock, platformLog, settings.platform(), new LogListener());
+    this.records = new RecordSender(log, this::send);
     this.ownership = new ShardOwnership(log::state);
     this.router =
         new PermitRouter(
@@ -206,7 +205,7 @@
     orders.applied(log.state());
     claims.appendingNodes(log.state().membership().entries().size());
     ownership.changed();
-    connectMembers();
+    directory.connectMembers(log.state().membership());
     changed();
   }
 
@@ -240,9 +239,9 @@
     vertx.setPeriodic(DECISION_INTERVAL_MILLIS, timer -> tick());
     vertx.setPeriodic(INVENTORY_INTERVAL_MILLIS, timer -> router.sendInventories(boot));
     vertx.setPeriodic(LOAD_INTERVAL_MILLIS, timer -> pollBackendServers());
-    vertx.setPeriodic(LIST_INTERVAL_MILLIS, timer -> readList());
+    vertx.setPeriodic(LIST_INTERVAL_MILLIS, timer -> directory.readList());
     vertx.setPeriodic(SLOW_INTERVAL_MILLIS, timer -> slowTick());
-    readList();
+    directory.readList();
   }
 
   private void tick() {
@@ -347,26 +346,6 @@
     network.sendToAll(message);
   }
 
-  private void readList() {
-    Instant askedAt = clock.instant();
-    machines.list().onSuccess(list -> listRead(askedAt, list));
-  }
-
-  private void listRead(Instant askedAt, List<VirtualMachine> list) {
-    for (VirtualMachine machine : list) {
-      network.connect(machine.name(), machine.host(), machine.peerPort());
-    }
-    coordinator.vmListRead(
-        list.stream().map(VirtualMachine::name).collect(Collectors.toSet()), askedAt);
-  }
-
-  private void connectMembers() {
-    for (Membership.Entry entry : log.state().membership().entries()) {
-      Member member = entry.member();
-      network.connect(member.node(), member.host(), member.peerPort());
-    }
-  }
-
   private void send(NodeName node, PeerMessage message) {
     if (node.equals(self.node())) {
       // Through the event loop, so that a decision never re-enters the state that made it.
@@ -398,7 +377,7 @@
   private void asked(Member from, PeerMessage.AskPermit ask) {
     Optional<AdmissionDecision> refusal = StaleViews.refusal(ask, log.state().configuration());
     if (refusal.isPresent()) {
-      sendRecords(from.node(), ask.viewOffset());
+      records.send(from.node(), ask.viewOffset());
       send(from.node(), new PeerMessage.Decided(refusal.get(), ask.round()));
     } else {
       owned.ask(ask.request(), ask.round());
@@ -420,8 +399,8 @@
         inForce.statusReceived(status.status());
         quarantine.learnedDigest(from.node(), status.suspicions());
       }
-      case PeerMessage.RecordsRequest request -> sendRecords(from.node(), request.fromOffset());
-      case PeerMessage.Records records -> log.receivedRecords(records.records());
+      case PeerMessage.RecordsRequest request -> records.send(from.node(), request.fromOffset());
+      case PeerMessage.Records fetched -> log.receivedRecords(fetched.records());
       case PeerMessage.State state -> log.receivedState(state.snapshot());
       case PeerMessage.HandOver handover -> coordinator.handoverReceived(handover.handover());
       case PeerMessage.HandOverAccepted accepted ->
@@ -451,19 +430,6 @@
     send(from, new PeerMessage.RestrictionAnswer(order.commandId(), self.node(), applied));
   }
 
-  private void sendRecords(NodeName peer, long fromOffset) {
-    if (!log.isLoaded()) {
-      return;
-    }
-    Optional<List<org.cactusseam.model.control.StoredRecord>> records =
-        fromOffset < 0 ? Optional.empty() : log.recordsFrom(fromOffset);
-    if (records.isPresent()) {
-      send(peer, new PeerMessage.Records(records.get()));
-    } else {
-      log.snapshot().forEach(part -> send(peer, new PeerMessage.State(part)));
-    }
-  }
-
   @Override
   public void connected(Member peer) {
     LOG.info("peer_connected", field("peer", peer.node()), field("boot", peer.boot()));
