Release the headers of a stream when they have been read

Cause: a class histogram of 1,000 open streams counted 16,000 header entries with their texts, and two 256-byte buffers for header lines on each connection, held as long as the streams last.

Change: the headers of the caller's request and of the engine's response are cleared when nothing reads them any more, and the buffers for header lines start at 64 bytes. The benchmark takes options of the daemon's JVM.

GenerationRelayTest, SlowReaderTest and LateBytesTest pass.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/BackendConnections.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/BackendConnections.java
@@ -18,6 +18,12 @@
    */
   private static final int MAXIMUM_CONNECTIONS = 2_048;
 
+  /**
+   * First size of a connection's buffer for header lines. It is held as long as the connection and
+   * grows for longer lines.
+   */
+  public static final int HEADER_LINE_BYTES = 64;
+
   private BackendConnections() {}
 
   /**
@@ -28,7 +34,10 @@
    */
   public static HttpClient createClient(Vertx vertx) {
     return vertx.createHttpClient(
-        new HttpClientOptions().setTcpNoDelay(true).setKeepAlive(false),
+        new HttpClientOptions()
+            .setTcpNoDelay(true)
+            .setKeepAlive(false)
+            .setDecoderInitialBufferSize(HEADER_LINE_BYTES),
         new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(0));
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/GenerationRelay.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/GenerationRelay.java
@@ -129,6 +129,8 @@
   public void attach(HttpClientResponse response) {
     long current = ++attachment;
     attached = response;
+    // The callers have read them; they would be held as long as the stream lasts.
+    response.headers().clear();
     RecordParser parser = RecordParser.newDelimited("\n\n", response);
     events = parser;
     parser.maxRecordSize(MAXIMUM_EVENT_BYTES);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -97,6 +97,7 @@
     return new HttpServerOptions()
         .setMaxHeaderSize(headerBytes)
         .setStrictThreadMode(true)
+        .setDecoderInitialBufferSize(BackendConnections.HEADER_LINE_BYTES)
         .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
         .setTcpKeepAlive(true)
         .setTcpNoDelay(true);
@@ -222,6 +223,8 @@
                 services.claims(),
                 info,
                 Optional.ofNullable(context.request().getHeader(Headers.IDEMPOTENCY_KEY))));
+    // Every header has been read; they would be held as long as the stream lasts.
+    context.request().headers().clear();
     response.closeHandler(closed -> request.callerLeft());
     request.start();
   }
--- a/cactusseam-standins/src/main/java/org/cactusseam/benchmark/StreamingBenchmark.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/benchmark/StreamingBenchmark.java
@@ -31,6 +31,10 @@
       number("watch-heap-seconds", "time to watch the heap of the open streams after that", 0);
   private final OptionSpec<String> recording =
       parser.accepts("recording", "Flight Recorder file of the daemon").withRequiredArg();
+  private final OptionSpec<String> jvmOption =
+      parser
+          .accepts("daemon-jvm-option", "option of the daemon's JVM; repeatable")
+          .withRequiredArg();
   private final OptionSpec<Path> daemonJar = file("daemon-jar", "jar of the daemon");
   private final OptionSpec<Path> standInJar = file("stand-in-jar", "jar of the stand-ins");
   private final OptionSpec<Path> folder = file("folder", "empty folder for settings and logs");
@@ -87,8 +91,12 @@
   }
 
   private List<String> daemonOptions(OptionSet options) {
-    List<String> daemonOptions =
-        new ArrayList<>(List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:ActiveProcessorCount=2"));
+    List<String> daemonOptions = new ArrayList<>(List.of("-Xmx256m", "-XX:ActiveProcessorCount=2"));
+    List<String> given = options.valuesOf(jvmOption);
+    if (given.stream().noneMatch(option -> option.matches("-XX:\\+Use\\w+GC"))) {
+      daemonOptions.add("-XX:+UseSerialGC");
+    }
+    daemonOptions.addAll(given);
     if (options.has(recording)) {
       daemonOptions.add(
           "-XX:StartFlightRecording=settings=profile,filename=" + options.valueOf(recording));
