Import names instead of writing them out

Cause: ten places wrote the package of a class in the middle of the code. No change of behaviour; it compiles with the linters, and the architecture tests pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/PeerTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/PeerTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cactusseam.logic.control.Membership;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.control.PeerStatus;
@@ -53,9 +54,7 @@
 
   void membershipChanged(Membership membership, Instant now) {
     Set<RunId> runs =
-        membership.entries().stream()
-            .map(Membership.Entry::run)
-            .collect(java.util.stream.Collectors.toSet());
+        membership.entries().stream().map(Membership.Entry::run).collect(Collectors.toSet());
     peers.keySet().retainAll(runs);
     runs.forEach(run -> peers.computeIfAbsent(run, key -> new Peer(now)));
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 
 /**
  * Immutable view of all configuration objects with their revisions. Changed copies share structure,
@@ -187,8 +188,7 @@
    * @param <T> record type
    * @return true if one does
    */
-  public <T extends ConfigurationObject> boolean any(
-      Class<T> type, java.util.function.Predicate<T> condition) {
+  public <T extends ConfigurationObject> boolean any(Class<T> type, Predicate<T> condition) {
     for (ConfigurationObject object : objects.values()) {
       if (type.isInstance(object) && condition.test(type.cast(object))) {
         return true;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -21,6 +21,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cactusseam.edge.backend.BackendConnections;
+import org.cactusseam.edge.backend.GenerationRelay;
 import org.cactusseam.edge.backend.Headers;
 import org.cactusseam.edge.control.RoutingView;
 import org.cactusseam.edge.logging.StructuredLog;
@@ -305,7 +306,7 @@
           Refusal.permanent(ResultCode.UNKNOWN_GENERATION, "no such generation for this account"));
       return;
     }
-    new org.cactusseam.edge.backend.GenerationRelay(
+    new GenerationRelay(
             vertx,
             services.clock(),
             client,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
@@ -23,6 +23,7 @@
 import org.cactusseam.logic.control.ProvisionalRestrictions;
 import org.cactusseam.logic.control.ShardOwners;
 import org.cactusseam.logic.control.Verdict;
+import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.query.AnswerTable;
 import org.cactusseam.logic.query.Command;
 import org.cactusseam.logic.query.CommandParser;
@@ -150,7 +151,7 @@
   private AnswerTable shards() {
     ShardOwners owners = log.state().owners();
     List<List<AnswerTable.Cell>> rows = new ArrayList<>();
-    org.cactusseam.logic.membership.ShardMap.of(log.state().configuration())
+    ShardMap.of(log.state().configuration())
         .shards()
         .forEach(
             (shard, servers) ->
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlThread.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlThread.java
@@ -23,7 +23,7 @@
    * @param task task
    */
   public void run(Runnable task) {
-    if (io.vertx.core.Vertx.currentContext() == context) {
+    if (Vertx.currentContext() == context) {
       task.run();
     } else {
       context.runOnContext(ignored -> task.run());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -26,6 +26,7 @@
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
 import org.cactusseam.model.message.PeerMessage;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Carries this daemon's questions for permits to the owners of the shards, asks again while an
@@ -295,8 +296,7 @@
                 refused.code(), refused.detail(), Duration.ofMillis(refused.retryAfterMillis()))));
   }
 
-  private void granted(
-      @org.jspecify.annotations.Nullable Question question, Permit permit, int round) {
+  private void granted(@Nullable Question question, Permit permit, int round) {
     if (question == null) {
       if (!running.containsKey(permit.id())) {
         sendEnded(permit.shard(), permit.id(), AttemptEnd.NOT_SENT, 0);
--- a/cactusseam-standins/src/main/java/org/cactusseam/benchmark/BenchmarkProcess.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/benchmark/BenchmarkProcess.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import javax.management.remote.JMXConnector;
 import javax.management.remote.JMXConnectorFactory;
 import javax.management.remote.JMXServiceURL;
@@ -82,7 +83,7 @@
   public void close() {
     process.destroy();
     try {
-      if (!process.waitFor(20, java.util.concurrent.TimeUnit.SECONDS)) {
+      if (!process.waitFor(20, TimeUnit.SECONDS)) {
         process.destroyForcibly();
       }
     } catch (InterruptedException e) {
--- a/cactusseam-standins/src/main/java/org/cactusseam/benchmark/StreamLoad.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/benchmark/StreamLoad.java
@@ -1,5 +1,6 @@
 package org.cactusseam.benchmark;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -127,7 +128,7 @@
           .onFailure(cause -> fault(cause.toString()));
     }
 
-    private io.vertx.core.Future<HttpClientResponse> send(HttpClientRequest request) {
+    private Future<HttpClientResponse> send(HttpClientRequest request) {
       request.putHeader("Authorization", "Bearer " + key);
       request.putHeader("Content-Type", "application/json");
       request.putHeader("Cactusseam-Stream", "benchmark-" + System.nanoTime() + "-" + number);
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/ServicePort.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/ServicePort.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 
 /**
@@ -94,7 +95,7 @@
     }
   }
 
-  private void chain(java.util.function.Supplier<Future<?>> change) {
+  private void chain(Supplier<Future<?>> change) {
     lastChange = lastChange.transform(ignored -> change.get().mapEmpty());
   }
 
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/log/LogStandIn.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/log/LogStandIn.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import org.cactusseam.standin.Endpoint;
 import org.cactusseam.standin.InvalidInputException;
@@ -135,7 +136,7 @@
     waiters.removeIf(waiter -> waiter.timer == timer);
   }
 
-  private void releaseWaiters(java.util.function.Predicate<Waiter> condition) {
+  private void releaseWaiters(Predicate<Waiter> condition) {
     List<Waiter> released = waiters.stream().filter(condition).toList();
     waiters.removeAll(released);
     for (Waiter waiter : released) {
