Shorten the takeover only by the successor's own proof

An expulsion as gone may rest on the platform's list of VMs. If the list drops a VM wrongly, that VM may grant until 3 s after its last read of the log, so two owners could grant at once.

Change: only a refused connection or a later run of the node that the successor has seen itself shortens the wait, also when it is seen after the record. A refused attempt that was made before the record of the change does not count.

Ruled out: another reason in the record of the expulsion.

Measured: TenuresTest with nine cases of before, after and never, LeaseTest, OwnershipTraceTest and FaultPairsTest (800 pairs, 200 sequences) pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
@@ -99,6 +99,7 @@
     nextOffset = state.nextOffset();
     membership = state.membership();
     knownBoot = state.newestBoot(self.node());
+    Set<RunId> ended = peers.provenEnded();
     if (membershipChanged) {
       own = membership.find(run());
       regionRuns =
@@ -108,8 +109,7 @@
     }
     peers.caughtUp(nextOffset);
     Set<ShardId> startedBefore = Set.copyOf(tenures.started().keySet());
-    // A run leaves the view only when it has stopped granting: by its own leave or its certain end.
-    tenures.changed(state.owners(), skipped, gone -> membership.find(gone).isPresent(), run(), now);
+    tenures.changed(state.owners(), skipped, ended, run(), now);
     updateTenures(now);
     startedBefore.stream()
         .filter(shard -> !tenures.owned().containsKey(shard))
@@ -168,7 +168,9 @@
    * @param attemptedAt time when the attempt started
    */
   public void connectionRefused(NodeName node, Instant attemptedAt) {
-    peers.connectionRefused(node, attemptedAt, clock.instant());
+    Instant now = clock.instant();
+    peers.connectionRefused(node, attemptedAt, now);
+    tenures.ended(run -> run.node().equals(node), attemptedAt, now);
   }
 
   /**
@@ -177,7 +179,12 @@
    * @param run run that answered
    */
   public void bootSeen(RunId run) {
-    peers.bootSeen(run, clock.instant());
+    Instant now = clock.instant();
+    peers.bootSeen(run, now);
+    tenures.ended(
+        known -> known.node().equals(run.node()) && known.boot().compareTo(run.boot()) < 0,
+        now,
+        now);
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/PeerTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/PeerTable.java
@@ -32,6 +32,7 @@
     private Optional<Answer> pending = Optional.empty();
     private Optional<Instant> missingSince = Optional.empty();
     private Optional<Instant> endedAt = Optional.empty();
+    private boolean endProven;
     private long acknowledged;
     private boolean leaving;
 
@@ -144,7 +145,7 @@
     for (Map.Entry<RunId, Peer> entry : peers.entrySet()) {
       RunId known = entry.getKey();
       if (known.node().equals(seen.node()) && known.boot().compareTo(seen.boot()) < 0) {
-        end(entry.getValue(), now);
+        prove(entry.getValue(), now);
       }
     }
   }
@@ -153,7 +154,7 @@
   void connectionRefused(NodeName node, Instant attemptedAt, Instant now) {
     for (Map.Entry<RunId, Peer> entry : peers.entrySet()) {
       if (entry.getKey().node().equals(node) && entry.getValue().knownSince.isBefore(attemptedAt)) {
-        end(entry.getValue(), now);
+        prove(entry.getValue(), now);
       }
     }
   }
@@ -177,6 +178,11 @@
     }
   }
 
+  private static void prove(Peer peer, Instant now) {
+    peer.endProven = true;
+    end(peer, now);
+  }
+
   private static void end(Peer peer, Instant now) {
     peer.endedAt = peer.endedAt.or(() -> Optional.of(now));
   }
@@ -185,6 +191,17 @@
     return Optional.ofNullable(peers.get(run)).flatMap(peer -> peer.endedAt);
   }
 
+  /**
+   * Returns the runs whose end this node has seen itself: a refused connection or a later run. The
+   * VM list is no such proof, because a VM that it drops wrongly still runs.
+   */
+  Set<RunId> provenEnded() {
+    return peers.entrySet().stream()
+        .filter(entry -> entry.getValue().endProven)
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   boolean isEnded(RunId run) {
     return endedAt(run).isPresent();
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/Tenures.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/Tenures.java
@@ -42,12 +42,11 @@
    *
    * @param current owners by the log
    * @param skipped whether records were not applied one by one
-   * @param mayStillRun tells whether a run may still believe that it owns shards
+   * @param ended runs whose end this node has seen
    * @param self run of this node
    * @param now current time
    */
-  void changed(
-      ShardOwners current, boolean skipped, Predicate<RunId> mayStillRun, RunId self, Instant now) {
+  void changed(ShardOwners current, boolean skipped, Set<RunId> ended, RunId self, Instant now) {
     Instant until = now.plus(settings.takeoverWait());
     if (current != owners || skipped) {
       for (Map.Entry<ShardId, Optional<ShardOwner>> entry : current.owners().entrySet()) {
@@ -66,7 +65,7 @@
                       block(
                           shard,
                           run,
-                          mayStillRun.test(run) ? until : now.plus(settings.waitAfterEnd())));
+                          ended.contains(run) ? now.plus(settings.waitAfterEnd()) : until));
         }
       }
       owners = current;
@@ -74,6 +73,26 @@
     refresh(self);
   }
 
+  /**
+   * Shortens the waits for runs that have ended: only permits that they granted before can still be
+   * used.
+   *
+   * @param ended tells whether a run has ended
+   * @param seenAt time at which it had; later owners of the same node are not concerned
+   * @param now current time
+   */
+  void ended(Predicate<RunId> ended, Instant seenAt, Instant now) {
+    Instant permitsEnd = now.plus(settings.waitAfterEnd());
+    Instant latest = seenAt.plus(settings.takeoverWait());
+    for (Map<RunId, Instant> waits : predecessors.values()) {
+      waits.replaceAll(
+          (run, until) ->
+              ended.test(run) && !until.isAfter(latest) && permitsEnd.isBefore(until)
+                  ? permitsEnd
+                  : until);
+    }
+  }
+
   private boolean isReleased(ShardId shard, RunId run, Optional<ShardOwner> successor) {
     Handover handover = releasedByRecord.get(shard);
     return handover != null
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/membership/TenuresTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/membership/TenuresTest.java
@@ -41,11 +41,11 @@
       long epoch, boolean before, boolean clear) {
     Tenures tenures = new Tenures(MembershipSettings.DEFAULT);
     Handover handover = new Handover(SHARD, SECOND, epoch, FIRST, SECOND, Set.of());
-    tenures.changed(owned(FIRST, 7), false, run -> true, SECOND, Instant.EPOCH);
+    tenures.changed(owned(FIRST, 7), false, Set.of(), SECOND, Instant.EPOCH);
     if (before) {
       tenures.releasedByRecord(handover);
     }
-    tenures.changed(owned(SECOND, 10), false, run -> true, SECOND, Instant.EPOCH);
+    tenures.changed(owned(SECOND, 10), false, Set.of(), SECOND, Instant.EPOCH);
     if (!before) {
       tenures.releasedByRecord(handover);
     }
@@ -55,13 +55,28 @@
   }
 
   /** Permits of the ended run may still be used for the time of their validity. */
-  @ParameterizedTest(name = "the earlier owner may still run {0}, after {1} ms: {2}")
-  @CsvSource({"true, 4499, false", "true, 4500, true", "false, 1499, false", "false, 1500, true"})
+  @ParameterizedTest(name = "the end is seen {0} ms after the record, clear after {1} ms: {2}")
+  @CsvSource({
+    "never, 4499, false",
+    "never, 4500, true",
+    "before, 1499, false",
+    "before, 1500, true",
+    "0, 1500, true",
+    "1000, 2499, false",
+    "1000, 2500, true",
+    "4000, 4500, true",
+    "-1, 4499, false"
+  })
   void the_wait_for_a_run_that_has_ended_is_that_for_its_permits(
-      boolean mayStillRun, long millis, boolean clear) {
+      String seen, long millis, boolean clear) {
     Tenures tenures = new Tenures(MembershipSettings.DEFAULT);
-    tenures.changed(owned(FIRST, 7), false, run -> true, SECOND, Instant.EPOCH);
-    tenures.changed(owned(SECOND, 10), false, run -> mayStillRun, SECOND, Instant.EPOCH);
+    tenures.changed(owned(FIRST, 7), false, Set.of(), SECOND, Instant.EPOCH);
+    Set<RunId> ended = seen.equals("before") ? Set.of(FIRST) : Set.of();
+    tenures.changed(owned(SECOND, 10), false, ended, SECOND, Instant.EPOCH);
+    if (seen.matches("-?[0-9]+")) {
+      Instant at = Instant.EPOCH.plusMillis(Long.parseLong(seen));
+      tenures.ended(FIRST::equals, at, at);
+    }
 
     assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusMillis(millis)), is(clear));
   }
