Judge plain requests by one token of output

New cases pause one. In one of the two a booking was refused: OVERLOADED "shard app/ost/0". An owner that knows no lengths expects 256 tokens of 30 ms, half of which must fit, so it refused every plain request with less than 3.84 s left, and a plain route with a shorter deadline altogether until 12 requests had ended. Plain services generate no tokens.

Ruled out: a smaller guess for all; models need it. Looking up the kind of the route in the shard; the bound on the output already says it.

Change: plain requests state a bound of one token. Waiting for an active member is shared by the two test classes that need it.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
@@ -29,6 +29,13 @@
 final class PlainRequest implements AttemptLoop.Sender {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  /**
+   * Least output that admission counts with. Without a bound, an owner that knows no lengths yet
+   * expects the output of a model and refuses what has less than 4 s left.
+   */
+  private static final int OUTPUT_TOKENS = 1;
+
   private static final Set<String> FORWARDED =
       Set.of("content-type", "accept", "accept-language", "idempotency-key");
   private static final List<String> RETURNED =
@@ -64,7 +71,8 @@
             services.claims(),
             info,
             Optional.ofNullable(request.getHeader(Headers.IDEMPOTENCY_KEY)));
-    this.attempts = new AttemptLoop(services, info, new PromptProfile(0, List.of()), 0, this);
+    this.attempts =
+        new AttemptLoop(services, info, new PromptProfile(0, List.of()), OUTPUT_TOKENS, this);
   }
 
   void start() {
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/OwnerChangeTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/OwnerChangeTest.java
@@ -26,6 +26,9 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class OwnerChangeTest {
 
+  /** Detection of a silent owner, the wait of its successor and 1 s of service after it. */
+  private static final Duration TAKEOVER = Duration.ofMillis(7_500);
+
   private static final int QUEUED = 24;
   private static final int TOKENS = 60;
 
@@ -136,6 +139,28 @@
     assertNoneRefused(bookings, streams);
   }
 
+  /**
+   * A paused daemon refuses no connection, so its shards move only after its silence was noticed.
+   */
+  @ParameterizedTest(name = "{0} is paused while {1} serves")
+  @CsvSource({"entry-1, entry-2", "entry-2, entry-1"})
+  void no_request_is_refused_while_another_daemon_is_paused(String paused, String serving) {
+    system.awaitActive(serving, serving);
+    system.awaitActive(paused, serving);
+    AtomicBoolean stopped = new AtomicBoolean();
+    CompletableFuture<List<String>> bookings = bookings(serving, stopped);
+    List<CompletableFuture<ModelCall>> streams = streams(serving);
+    Eventually.pause(Duration.ofMillis(300));
+
+    system.process(paused).signal("STOP");
+    Eventually.pause(TAKEOVER);
+    system.process(paused).signal("CONT");
+    awaitServed(paused);
+    stopped.set(true);
+
+    assertNoneRefused(bookings, streams);
+  }
+
   @Test
   void no_request_is_refused_when_a_new_daemon_takes_shards_over() {
     AtomicBoolean stopped = new AtomicBoolean();
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/ServingUnderFaultsTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/ServingUnderFaultsTest.java
@@ -132,22 +132,6 @@
     calls.forEach(ServingUnderFaultsTest::assertWhole);
   }
 
-  /**
-   * A member that came back may expel others only when it is active, which needs the
-   * acknowledgement of every active member of its region. If the last active one is paused before
-   * that, the shards of the region wait for it, or for the VM list to drop it.
-   */
-  private void awaitActive(String member, String seenBy) {
-    Eventually.await(
-        member + " is active",
-        TAKEOVER,
-        () ->
-            system
-                .command(seenBy, "show nodes")
-                .lines()
-                .anyMatch(line -> line.startsWith(member) && line.contains(" active")));
-  }
-
   @ParameterizedTest(name = "{0} of each daemon in turn")
   @ValueSource(strings = {"STOP", "KILL"})
   void requests_are_served_after_an_owner_is_gone_and_after_it_is_back(String signal) {
@@ -163,7 +147,7 @@
         system.restart(gone);
       }
       system.awaitReady(gone);
-      awaitActive(gone, other);
+      system.awaitActive(gone, other);
       assertWhole(untilWhole(new ModelCall("again " + gone, 10), gone));
     }
     assertThat(system.number("engine-1", "/violations", "cold_violations"), is(0L));
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/SystemUnderTest.java
@@ -31,6 +31,9 @@
   private static final String MAIN = "org.cactusseam.cli.Main";
   private static final Duration START = Duration.ofSeconds(40);
 
+  /** Time for an expelled daemon to join again and to become active. */
+  private static final Duration ACTIVE_AGAIN = Duration.ofSeconds(15);
+
   final Path folder;
   final int logPort = FreePorts.next();
   final int listPort = FreePorts.next();
@@ -209,6 +212,22 @@
     }
   }
 
+  /**
+   * Waits until a daemon is active in the view of another. A member that came back may expel others
+   * only when it is active, which needs the acknowledgement of every active member of its region.
+   * If the last active one is paused before that, the shards of the region wait for it, or for the
+   * VM list to drop it.
+   */
+  void awaitActive(String member, String seenBy) {
+    Eventually.await(
+        member + " is active",
+        ACTIVE_AGAIN,
+        () ->
+            command(seenBy, "show nodes")
+                .lines()
+                .anyMatch(line -> line.startsWith(member) && line.contains(" active")));
+  }
+
   /** Runs an operator's command and returns code and message or table. */
   String command(String entry, String command) {
     return command(entry, command, java.util.UUID.randomUUID().toString());
