--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -0,0 +1,229 @@
+package org.cactusseam.logic.gateway;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.cactusseam.model.gateway.EngineTraits;
+import org.cactusseam.model.gateway.GatewayService;
+import org.cactusseam.model.gateway.ServerInstance;
+
+/**
+ * Chooses the backend server of a request. Answers two load patterns: many requests at once, which
+ * must not all go to the server that seemed idle last, and a few very long ones, which fill the
+ * memory of an engine long before its slots are taken.
+ */
+public final class Placement {
+
+  /**
+   * Part of an engine's memory that expected runs may take; the rest covers runs that turn out
+   * longer than expected, before the engine preempts one.
+   */
+  private static final double MEMORY_PART = 0.9;
+
+  /** Cost of another region, in parts of a full server: its link is slow and billed by volume. */
+  private static final double OTHER_REGION = 0.35;
+
+  /** Cost of another failure domain of the same region, in parts of a full server. */
+  private static final double OTHER_FAILURE_DOMAIN = 0.04;
+
+  /** Cost of a server that fails all its requests, in parts of a full server. */
+  private static final double FAILURES = 3;
+
+  private final Clock clock;
+  private final Location location;
+  private final ServerTable servers;
+  private final LoadBoard loads;
+  private final ServerHealth health;
+  private final Map<String, RateShare> rates = new HashMap<>();
+  private int vms = 1;
+
+  /**
+   * Where this VM stands.
+   *
+   * @param failureDomain own failure domain
+   * @param regions region of each failure domain
+   */
+  public record Location(String failureDomain, Map<String, String> regions) {
+
+    /** Copies the map. */
+    public Location {
+      regions = Map.copyOf(regions);
+    }
+
+    Optional<String> regionOf(String otherDomain) {
+      return Optional.ofNullable(regions.get(otherDomain));
+    }
+
+    boolean isOwnRegion(String otherDomain) {
+      return regionOf(otherDomain).equals(regionOf(failureDomain));
+    }
+  }
+
+  /**
+   * What a request needs of its server.
+   *
+   * @param service service
+   * @param regions regions that are allowed; empty if all are
+   * @param tokens memory that the run is expected to need; 0 for plain requests
+   * @param excluded servers that must not be chosen
+   */
+  public record Need(
+      GatewayService service, Set<String> regions, int tokens, Set<String> excluded) {
+
+    /** Copies the collections. */
+    public Need {
+      regions = Set.copyOf(regions);
+      excluded = Set.copyOf(excluded);
+    }
+  }
+
+  /**
+   * Creates a placement.
+   *
+   * @param clock time
+   * @param location where this VM stands
+   * @param servers servers
+   * @param loads load of the servers
+   * @param health health of the servers
+   */
+  public Placement(
+      Clock clock, Location location, ServerTable servers, LoadBoard loads, ServerHealth health) {
+    this.clock = clock;
+    this.location = location;
+    this.servers = servers;
+    this.loads = loads;
+    this.health = health;
+  }
+
+  /**
+   * Sets the number of VMs that share the rates.
+   *
+   * @param number number of VMs, this one included
+   */
+  public void vms(int number) {
+    vms = Math.max(1, number);
+  }
+
+  /**
+   * Returns whether any server could ever run the request.
+   *
+   * @param need what it needs
+   * @return whether a listed server is allowed for it
+   */
+  public boolean isServable(Need need) {
+    return servers.usable(need.service().name()).stream().anyMatch(each -> isAllowed(need, each));
+  }
+
+  /**
+   * Chooses a server that has room.
+   *
+   * @param need what the request needs
+   * @return server, or nothing if all are full, suspended or excluded
+   */
+  public Optional<ServerInstance> choose(Need need) {
+    Instant now = clock.instant();
+    return servers.usable(need.service().name()).stream()
+        .filter(server -> isAllowed(need, server))
+        .filter(server -> hasRoom(need, server))
+        .filter(server -> !health.isSuspended(server.id(), now))
+        .filter(server -> isWithinRate(need.service(), server, now))
+        .min(Comparator.comparingDouble(server -> cost(need, server)));
+  }
+
+  /**
+   * Chooses a server that keeps a copy of a run's memory.
+   *
+   * @param need what the run needs; its own server is excluded
+   * @param primary server of the run
+   * @return server, or nothing if none has room
+   */
+  public Optional<ServerInstance> chooseBackup(Need need, ServerInstance primary) {
+    Instant now = clock.instant();
+    List<ServerInstance> candidates =
+        servers.usable(need.service().name()).stream()
+            .filter(server -> !server.id().equals(primary.id()))
+            .filter(server -> isAllowed(need, server))
+            .filter(server -> hasRoom(need, server))
+            .filter(server -> !health.isSuspended(server.id(), now))
+            .toList();
+    return candidates.stream().min(Comparator.comparingDouble(server -> cost(need, server)));
+  }
+
+  /**
+   * Counts a request that is sent now.
+   *
+   * @param server its server
+   */
+  public void sent(ServerInstance server) {
+    rates.computeIfAbsent(server.id(), id -> new RateShare(clock.instant())).take();
+  }
+
+  /** Drops what is kept of servers that are no longer listed. */
+  public void tick() {
+    rates.keySet().removeIf(id -> servers.find(id).isEmpty());
+  }
+
+  private boolean isAllowed(Need need, ServerInstance server) {
+    return !need.excluded().contains(server.id())
+        && (need.regions().isEmpty()
+            || location
+                .regionOf(server.failureDomain())
+                .filter(need.regions()::contains)
+                .isPresent());
+  }
+
+  private boolean hasRoom(Need need, ServerInstance server) {
+    LoadBoard.ServerLoad load = loads.total(server.id());
+    if (load.runs() >= slots(need, server)) {
+      return false;
+    }
+    OptionalInt memory = memory(need.service());
+    return memory.isEmpty()
+        || load.runs() == 0
+        || load.tokens() + need.tokens() <= MEMORY_PART * memory.getAsInt();
+  }
+
+  private static int slots(Need need, ServerInstance server) {
+    int configured = need.service().engine().map(EngineTraits::slots).orElse(0);
+    int slots = server.slots() > 0 ? server.slots() : configured;
+    return slots > 0 ? slots : Integer.MAX_VALUE;
+  }
+
+  private static OptionalInt memory(GatewayService service) {
+    return service
+        .engine()
+        .filter(engine -> engine.memoryTokens() > 0)
+        .map(engine -> OptionalInt.of(engine.memoryTokens()))
+        .orElse(OptionalInt.empty());
+  }
+
+  private boolean isWithinRate(GatewayService service, ServerInstance server, Instant now) {
+    if (service.coldRequestsPerSecond() <= 0) {
+      return true;
+    }
+    double share = service.coldRequestsPerSecond() / vms;
+    return rates.computeIfAbsent(server.id(), id -> new RateShare(now)).isOpen(share, now);
+  }
+
+  private double cost(Need need, ServerInstance server) {
+    LoadBoard.ServerLoad load = loads.total(server.id());
+    double runs = (load.runs() + 1.0) / Math.min(slots(need, server), 1 << 16);
+    OptionalInt memory = memory(need.service());
+    double tokens =
+        memory.isPresent() ? (load.tokens() + need.tokens()) / (double) memory.getAsInt() : 0;
+    return runs + tokens + distance(server) + FAILURES * health.failureShare(server.id());
+  }
+
+  private double distance(ServerInstance server) {
+    if (server.failureDomain().equals(location.failureDomain())) {
+      return 0;
+    }
+    return location.isOwnRegion(server.failureDomain()) ? OTHER_FAILURE_DOMAIN : OTHER_REGION;
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RouteTable.java
@@ -0,0 +1,120 @@
+package org.cactusseam.logic.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.cactusseam.model.gateway.CallerLimits;
+import org.cactusseam.model.gateway.CallerRequest;
+import org.cactusseam.model.gateway.GatewayAccount;
+import org.cactusseam.model.gateway.GatewayConfiguration;
+import org.cactusseam.model.gateway.GatewayRoute;
+import org.cactusseam.model.gateway.GatewayService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The configuration in force, indexed for the lookup of requests. A configuration with an older
+ * version than the known one is ignored, because records can arrive late or from a peer that is
+ * behind.
+ */
+public final class RouteTable {
+
+  private final Map<String, List<GatewayRoute>> routesByHost = new HashMap<>();
+  private final Map<String, GatewayAccount> accountsByKey = new HashMap<>();
+  private @Nullable GatewayConfiguration current;
+
+  /**
+   * Takes a configuration if it is newer than the known one.
+   *
+   * @param configuration configuration
+   * @return whether it is now in force
+   */
+  public boolean apply(GatewayConfiguration configuration) {
+    if (current != null && configuration.version() <= current.version()) {
+      return false;
+    }
+    current = configuration;
+    routesByHost.clear();
+    for (GatewayRoute route : configuration.routes()) {
+      routesByHost
+          .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+          .add(route);
+    }
+    Comparator<GatewayRoute> longestFirst =
+        Comparator.comparingInt((GatewayRoute route) -> route.pathPrefix().length()).reversed();
+    routesByHost.values().forEach(routes -> routes.sort(longestFirst));
+    accountsByKey.clear();
+    for (GatewayAccount account : configuration.accounts().orElse(List.of())) {
+      account.keys().forEach(key -> accountsByKey.put(key, account));
+    }
+    return true;
+  }
+
+  /**
+   * Looks up a request.
+   *
+   * @param request request
+   * @return what the configuration says of it
+   */
+  public RouteDecision decide(CallerRequest request) {
+    if (current == null) {
+      return new RouteDecision.NotConfigured();
+    }
+    Optional<GatewayRoute> route = route(request.host(), request.path());
+    if (route.isEmpty()) {
+      return new RouteDecision.NoRoute();
+    }
+    Optional<GatewayAccount> account =
+        request.key().map(accountsByKey::get).filter(found -> found != null);
+    if (account.isEmpty() && current.accounts().isPresent() && !route.get().open()) {
+      return new RouteDecision.UnknownKey();
+    }
+    return new RouteDecision.Accepted(route.get(), account);
+  }
+
+  private Optional<GatewayRoute> route(String host, String path) {
+    return routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
+        .filter(route -> path.startsWith(route.pathPrefix()))
+        .findFirst();
+  }
+
+  /**
+   * Returns the version in force.
+   *
+   * @return version, absent before the first configuration
+   */
+  public Optional<Long> version() {
+    return Optional.ofNullable(current).map(GatewayConfiguration::version);
+  }
+
+  /**
+   * Returns a service.
+   *
+   * @param name name
+   * @return the service, if it is configured
+   */
+  public Optional<GatewayService> service(String name) {
+    return Optional.ofNullable(current).map(known -> known.services().get(name));
+  }
+
+  /**
+   * Returns all services.
+   *
+   * @return services, empty before the first configuration
+   */
+  public List<GatewayService> services() {
+    return current == null ? List.of() : List.copyOf(current.services().values());
+  }
+
+  /**
+   * Returns the limits for callers.
+   *
+   * @return limits in force
+   */
+  public CallerLimits limits() {
+    return current == null ? CallerLimits.INITIAL : current.limits();
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerTable.java
@@ -0,0 +1,192 @@
+package org.cactusseam.logic.gateway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusseam.model.gateway.ServerInstance;
+
+/**
+ * The backend servers that may receive requests.
+ *
+ * <p>An entry that disappears while the platform's store is away may have lapsed although its
+ * server lives. Such entries stay usable for {@link #LAPSE_GRACE} after the return of the store and
+ * are dropped then. An entry that announced its leaving is dropped at once.
+ */
+public final class ServerTable {
+
+  /** Entries of live servers are back within about 2 s of the store's return (users' request). */
+  public static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
+
+  private final Map<String, Entry> entries = new HashMap<>();
+  private final Set<String> evacuated = new HashSet<>();
+  private Instant graceUntil = Instant.MIN;
+
+  private static final class Entry {
+    private ServerInstance instance;
+    private Instant changedAt;
+    private boolean absent;
+    private boolean announcedLeaving;
+
+    Entry(ServerInstance instance, Instant changedAt) {
+      this.instance = instance;
+      this.changedAt = changedAt;
+    }
+  }
+
+  /**
+   * Takes the description of a server.
+   *
+   * @param instance description
+   * @param now time
+   * @return whether the server is new or has started again
+   */
+  public boolean put(ServerInstance instance, Instant now) {
+    Entry known = entries.get(instance.id());
+    if (known == null || !known.instance.isSameRun(instance)) {
+      entries.put(instance.id(), new Entry(instance, now));
+      return true;
+    }
+    known.instance = instance;
+    known.changedAt = now;
+    known.absent = false;
+    return false;
+  }
+
+  /**
+   * Takes the disappearance of an entry.
+   *
+   * @param id server
+   * @param now time
+   */
+  public void remove(String id, Instant now) {
+    Entry entry = entries.get(id);
+    if (entry == null) {
+      return;
+    }
+    if (entry.instance.leaving() || entry.announcedLeaving || !now.isBefore(graceUntil)) {
+      entries.remove(id);
+    } else {
+      entry.absent = true;
+    }
+  }
+
+  /**
+   * Takes the whole list of servers.
+   *
+   * @param instances descriptions
+   * @param now time
+   */
+  public void replaceAll(Collection<ServerInstance> instances, Instant now) {
+    Set<String> present = new HashSet<>();
+    for (ServerInstance instance : instances) {
+      put(instance, now);
+      present.add(instance.id());
+    }
+    for (String id : List.copyOf(entries.keySet())) {
+      if (!present.contains(id)) {
+        remove(id, now);
+      }
+    }
+  }
+
+  /**
+   * The store answers again after it was away: entries that are missing now may have lapsed.
+   *
+   * @param now time
+   */
+  public void storeReturned(Instant now) {
+    graceUntil = now.plus(LAPSE_GRACE);
+  }
+
+  /**
+   * Drops entries that are still missing after the return of the store.
+   *
+   * @param now time
+   */
+  public void tick(Instant now) {
+    if (!now.isBefore(graceUntil)) {
+      entries.values().removeIf(entry -> entry.absent);
+    }
+  }
+
+  /**
+   * A server itself has announced that it leaves, before its entry says so.
+   *
+   * @param id server
+   */
+  public void announceLeaving(String id) {
+    Entry entry = entries.get(id);
+    if (entry != null) {
+      entry.announcedLeaving = true;
+    }
+  }
+
+  /**
+   * Takes the failure domains that operators have taken out of service.
+   *
+   * @param failureDomains names
+   */
+  public void evacuate(Set<String> failureDomains) {
+    evacuated.clear();
+    evacuated.addAll(failureDomains);
+  }
+
+  /**
+   * Returns the servers of a service that may receive new requests.
+   *
+   * @param service service
+   * @return servers
+   */
+  public List<ServerInstance> usable(String service) {
+    List<ServerInstance> usable = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      if (entry.instance.service().equals(service) && isUsable(entry)) {
+        usable.add(entry.instance);
+      }
+    }
+    return usable;
+  }
+
+  private boolean isUsable(Entry entry) {
+    return !entry.instance.leaving()
+        && !entry.announcedLeaving
+        && !evacuated.contains(entry.instance.failureDomain());
+  }
+
+  /**
+   * Returns whether a run may continue at a server: it is listed, and it is the same process.
+   *
+   * @param instance server
+   * @return whether requests may still be sent to it
+   */
+  public boolean isUsable(ServerInstance instance) {
+    Entry entry = entries.get(instance.id());
+    return entry != null && entry.instance.isSameRun(instance) && isUsable(entry);
+  }
+
+  /**
+   * Returns the present description of a server.
+   *
+   * @param id server
+   * @return description, absent if it is not listed
+   */
+  public Optional<ServerInstance> find(String id) {
+    return Optional.ofNullable(entries.get(id)).map(entry -> entry.instance);
+  }
+
+  /**
+   * Returns all servers.
+   *
+   * @return descriptions, also of those that leave
+   */
+  public List<ServerInstance> all() {
+    return entries.values().stream().map(entry -> entry.instance).toList();
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -0,0 +1,174 @@
+package org.cactusseam.edge.gateway;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cactusseam.edge.backend.BackendConnections;
+import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.logic.gateway.Placement;
+import org.cactusseam.logic.gateway.RetryBudget;
+import org.cactusseam.logic.gateway.RouteTable;
+import org.cactusseam.logic.gateway.ServerHealth;
+import org.cactusseam.logic.gateway.ServerTable;
+import org.cactusseam.logic.gateway.WaitingLine;
+
+/** State of a gateway that its requests share. Confined to the event loop. */
+public final class Gateway {
+
+  private final Vertx vertx;
+  private final Clock clock;
+  private final GatewaySettings settings;
+  private final Translation translation;
+  private final EngineCalls engines;
+  private final HttpClient client;
+  private final RouteTable routes = new RouteTable();
+  private final ServerTable servers = new ServerTable();
+  private final LoadBoard loads = new LoadBoard();
+  private final ServerHealth health = new ServerHealth();
+  private final Placement placement;
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final Map<String, WaitingLine<Exchange>> waiting = new HashMap<>();
+  private final Set<Exchange> active = new LinkedHashSet<>();
+  private int vms = 1;
+  private boolean draining;
+
+  /**
+   * Creates a gateway without configuration and servers.
+   *
+   * @param vertx event loop
+   * @param clock time
+   * @param settings settings
+   * @param translation names of the platform
+   * @param engines calls to model engines
+   */
+  public Gateway(
+      Vertx vertx,
+      Clock clock,
+      GatewaySettings settings,
+      Translation translation,
+      EngineCalls engines) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.settings = settings;
+    this.translation = translation;
+    this.engines = engines;
+    this.client = BackendConnections.createClient(vertx);
+    this.placement = new Placement(clock, settings.location(), servers, loads, health);
+  }
+
+  Vertx vertx() {
+    return vertx;
+  }
+
+  Clock clock() {
+    return clock;
+  }
+
+  GatewaySettings settings() {
+    return settings;
+  }
+
+  Translation translation() {
+    return translation;
+  }
+
+  EngineCalls engines() {
+    return engines;
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  RouteTable routes() {
+    return routes;
+  }
+
+  ServerTable servers() {
+    return servers;
+  }
+
+  LoadBoard loads() {
+    return loads;
+  }
+
+  ServerHealth health() {
+    return health;
+  }
+
+  Placement placement() {
+    return placement;
+  }
+
+  GatewayMetrics metrics() {
+    return metrics;
+  }
+
+  RetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
+        service,
+        name ->
+            new RetryBudget(
+                settings.retryWindow(), settings.retryRatio(), settings.retryAllowance()));
+  }
+
+  boolean tryRetry(String service) {
+    return budget(service).tryRetry(vms, clock.instant());
+  }
+
+  WaitingLine<Exchange> waiting(String service) {
+    return waiting.computeIfAbsent(service, name -> new WaitingLine<>());
+  }
+
+  /** Offers free places to the requests that wait. */
+  void offerPlaces() {
+    for (WaitingLine<Exchange> line : List.copyOf(waiting.values())) {
+      line.offer(Exchange::tryStart);
+    }
+  }
+
+  void add(Exchange exchange) {
+    active.add(exchange);
+  }
+
+  void remove(Exchange exchange) {
+    active.remove(exchange);
+  }
+
+  List<Exchange> active() {
+    return List.copyOf(active);
+  }
+
+  /**
+   * Sets the number of gateways that share the limits.
+   *
+   * @param number number of gateways, this one included
+   */
+  void vms(int number) {
+    vms = Math.max(1, number);
+    placement.vms(vms);
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  void drain() {
+    draining = true;
+  }
+
+  /**
+   * Returns whether callers can be served: a configuration and at least one server are known.
+   *
+   * @return readiness
+   */
+  boolean isReady() {
+    return !draining && routes.version().isPresent() && !servers.all().isEmpty();
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -0,0 +1,147 @@
+package org.cactusseam.edge.gateway;
+
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
+import io.vertx.core.Future;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Set;
+import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.model.gateway.GatewayConfiguration;
+import org.cactusseam.model.gateway.ServerInstance;
+
+/** One running gateway: takes the news of the store, keeps time, and shuts down. */
+public final class GatewayProcess implements ControlFeed {
+
+  private static final StructuredLog LOG = StructuredLog.of(GatewayProcess.class);
+
+  /** Short against the notice of a reclaimed engine, 1.5 s. */
+  private static final long TICK_MILLIS = 50;
+
+  /**
+   * Time for which a leaving gateway still takes what the balancer sends: the balancer asks once a
+   * second and takes a gateway out after two misses.
+   */
+  private static final Duration BALANCER_DELAY = Duration.ofMillis(3_200);
+
+  /** Time before the platform's kill at which the process ends by itself. */
+  private static final Duration END_MARGIN = Duration.ofMillis(300);
+
+  private final Gateway gateway;
+  private final GatewayServer server;
+  private final Runnable exit;
+  private Instant drainingSince = Instant.MAX;
+  private boolean closing;
+
+  /**
+   * Creates a process.
+   *
+   * @param gateway its state
+   * @param exit ends the process
+   */
+  public GatewayProcess(Gateway gateway, Runnable exit) {
+    this.gateway = gateway;
+    this.server = new GatewayServer(gateway);
+    this.exit = exit;
+  }
+
+  /**
+   * Opens the ports.
+   *
+   * @return completes when requests can arrive
+   */
+  public Future<Void> start() {
+    gateway.vertx().setPeriodic(TICK_MILLIS, timer -> tick());
+    return server.listen();
+  }
+
+  private void tick() {
+    Instant now = gateway.clock().instant();
+    gateway.servers().tick(now);
+    gateway.loads().tick(now);
+    gateway.placement().tick();
+    gateway.active().forEach(exchange -> exchange.tick(now));
+    gateway.offerPlaces();
+    if (gateway.isDraining() && !closing) {
+      endIfDrained(now);
+    }
+  }
+
+  private void endIfDrained(Instant now) {
+    Duration elapsed = Duration.between(drainingSince, now);
+    boolean idle = gateway.active().isEmpty() && elapsed.compareTo(BALANCER_DELAY) >= 0;
+    Duration limit = gateway.settings().shutdownGrace().minus(END_MARGIN);
+    if (idle || elapsed.compareTo(limit) >= 0) {
+      closing = true;
+      LOG.info("stopped", field("open_requests", gateway.active().size()));
+      server.close().onComplete(closed -> exit.run());
+    }
+  }
+
+  /** Stops taking new callers, and ends when the requests that run have ended. */
+  public void drain() {
+    if (!gateway.isDraining()) {
+      LOG.info("draining", field("open_requests", gateway.active().size()));
+      drainingSince = gateway.clock().instant();
+      gateway.drain();
+    }
+  }
+
+  @Override
+  public void configuration(GatewayConfiguration configuration) {
+    if (gateway.routes().apply(configuration)) {
+      LOG.info(
+          "configuration",
+          field("version", configuration.version()),
+          field("routes", configuration.routes().size()),
+          field("services", configuration.services().size()));
+    }
+  }
+
+  @Override
+  public void evacuated(Set<String> failureDomains) {
+    LOG.info("evacuated", field("domains", failureDomains));
+    gateway.servers().evacuate(failureDomains);
+  }
+
+  @Override
+  public void allServers(Collection<ServerInstance> servers) {
+    gateway.servers().replaceAll(servers, gateway.clock().instant());
+    LOG.info("servers", field("number", servers.size()));
+  }
+
+  @Override
+  public void server(ServerInstance instance) {
+    boolean leavingBefore =
+        gateway.servers().find(instance.id()).filter(ServerInstance::leaving).isPresent();
+    if (gateway.servers().put(instance, gateway.clock().instant())) {
+      gateway.health().forget(instance.id());
+      LOG.info(
+          "server_listed",
+          field("server", instance.id()),
+          field("service", instance.service()),
+          field("domain", instance.failureDomain()));
+    }
+    if (instance.leaving() && !leavingBefore) {
+      LOG.info("server_leaving", field("server", instance.id()));
+    }
+  }
+
+  @Override
+  public void serverGone(String id) {
+    LOG.info("server_gone", field("server", id));
+    gateway.servers().remove(id, gateway.clock().instant());
+  }
+
+  @Override
+  public void storeReturned() {
+    LOG.info("store_returned");
+    gateway.servers().storeReturned(gateway.clock().instant());
+  }
+
+  @Override
+  public void peer(String node, String host, int port) {
+    LOG.info("peer_found", field("peer", node), field("host", host), field("port", port));
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -0,0 +1,165 @@
+package org.cactusseam.edge.gateway;
+
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
+import io.vavr.control.Either;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.logic.gateway.RouteDecision;
+import org.cactusseam.model.gateway.CallerRequest;
+import org.cactusseam.model.gateway.GatewayRoute;
+import org.cactusseam.model.gateway.GatewayService;
+
+/** The HTTP ports of a gateway: callers, readiness and metrics. */
+final class GatewayServer {
+
+  private static final StructuredLog LOG = StructuredLog.of(GatewayServer.class);
+
+  /** Above the limit of the configuration (16 KiB), which callers keep to. */
+  private static final int LONGEST_HEADER_BYTES = 32 << 10;
+
+  /**
+   * Callers reuse a connection after up to four fifths of the configured limit, 15 s; a longer
+   * timeout never closes one that a request is about to use.
+   */
+  private static final int IDLE_TIMEOUT_SECONDS = 25;
+
+  private static final int BACKLOG = 1_024;
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_BAD_REQUEST = 400;
+  private static final int STATUS_UNAUTHORIZED = 401;
+  private static final int STATUS_NOT_FOUND = 404;
+  private static final int STATUS_TOO_LARGE = 413;
+  private static final int STATUS_UNAVAILABLE = 503;
+  private static final String RETRY_AFTER_NOT_CONFIGURED = "0.5";
+
+  private final Gateway gateway;
+  private final HttpServer callers;
+  private final HttpServer readiness;
+  private final HttpServer metrics;
+
+  GatewayServer(Gateway gateway) {
+    this.gateway = gateway;
+    HttpServerOptions options =
+        new HttpServerOptions()
+            .setTcpNoDelay(true)
+            .setAcceptBacklog(BACKLOG)
+            .setMaxHeaderSize(LONGEST_HEADER_BYTES)
+            .setMaxInitialLineLength(LONGEST_HEADER_BYTES)
+            .setHandle100ContinueAutomatically(true)
+            .setIdleTimeout(IDLE_TIMEOUT_SECONDS);
+    this.callers = gateway.vertx().createHttpServer(options).requestHandler(this::receive);
+    this.readiness = gateway.vertx().createHttpServer().requestHandler(this::answerReadiness);
+    this.metrics = gateway.vertx().createHttpServer().requestHandler(this::answerMetrics);
+  }
+
+  Future<Void> listen() {
+    GatewaySettings settings = gateway.settings();
+    return Future.all(
+            List.of(
+                callers.listen(settings.callerPort(), settings.host()),
+                readiness.listen(settings.readinessPort(), settings.host()),
+                metrics.listen(settings.metricsPort(), settings.host())))
+        .mapEmpty();
+  }
+
+  Future<Void> close() {
+    return callers.close();
+  }
+
+  private void answerReadiness(HttpServerRequest request) {
+    boolean ready = gateway.isReady() && request.path().equals(gateway.settings().readinessPath());
+    request.response().setStatusCode(ready ? STATUS_OK : STATUS_UNAVAILABLE).end();
+  }
+
+  private void answerMetrics(HttpServerRequest request) {
+    request
+        .response()
+        .putHeader("Content-Type", "text/plain; version=0.0.4")
+        .end(gateway.metrics().exposition());
+  }
+
+  private void receive(HttpServerRequest request) {
+    Instant receivedAt = gateway.clock().instant();
+    BodyReader reader = new BodyReader(request, gateway.routes().limits().bodyBytes());
+    reader
+        .read()
+        .onSuccess(
+            body -> {
+              if (body.isEmpty()) {
+                reject(request, STATUS_TOO_LARGE, "the body is too long");
+              } else {
+                forward(request, body.get(), receivedAt);
+              }
+            })
+        .onFailure(cause -> LOG.debug("request_broken_off", field("cause", cause.getMessage())));
+  }
+
+  private void forward(HttpServerRequest request, Buffer body, Instant receivedAt) {
+    Either<String, CallerRequest> decoded = gateway.translation().decode(request);
+    if (decoded.isLeft()) {
+      reject(request, STATUS_BAD_REQUEST, decoded.getLeft());
+      return;
+    }
+    CallerRequest head = decoded.get();
+    switch (gateway.routes().decide(head)) {
+      case RouteDecision.Accepted accepted -> start(request, body, head, accepted, receivedAt);
+      case RouteDecision.NotConfigured none -> {
+        request.response().putHeader("Retry-After", RETRY_AFTER_NOT_CONFIGURED);
+        reject(request, STATUS_UNAVAILABLE, "no configuration is known yet");
+      }
+      case RouteDecision.NoRoute none -> reject(request, STATUS_NOT_FOUND, "no route");
+      case RouteDecision.UnknownKey none -> reject(request, STATUS_UNAUTHORIZED, "unknown key");
+    }
+  }
+
+  private void start(
+      HttpServerRequest request,
+      Buffer body,
+      CallerRequest head,
+      RouteDecision.Accepted accepted,
+      Instant receivedAt) {
+    Optional<GatewayService> service = service(accepted.route(), head.attemptId());
+    if (service.isEmpty()) {
+      reject(request, STATUS_UNAVAILABLE, "the service of the route is not configured");
+      return;
+    }
+    Exchange exchange =
+        accepted.route().repetition().isStream()
+            ? new StreamExchange(gateway, request, body, head, accepted, service.get(), receivedAt)
+            : new PlainExchange(gateway, request, body, head, accepted, service.get(), receivedAt);
+    exchange.start();
+  }
+
+  /** Chooses the service of a route by the weights, the same one for the same attempt. */
+  private Optional<GatewayService> service(GatewayRoute route, String attemptId) {
+    int total = route.services().stream().mapToInt(each -> each.weight()).sum();
+    int point = total > 0 ? Math.floorMod(attemptId.hashCode() * 31, total) : 0;
+    for (GatewayRoute.WeightedService each : route.services()) {
+      point -= each.weight();
+      if (point < 0) {
+        return gateway.routes().service(each.service());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void reject(HttpServerRequest request, int status, String reason) {
+    gateway.metrics().count("cactusseam_rejected_total{status=\"" + status + "\"}");
+    LOG.info(
+        "rejected",
+        field("status", status),
+        field("reason", reason),
+        field("host", request.authority()),
+        field("path", request.path()),
+        field("configuration", gateway.routes().version().orElse(-1L)));
+    request.response().setStatusCode(status).putHeader("Content-Type", "text/plain").end(reason);
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -0,0 +1,245 @@
+package org.cactusseam.edge.gateway;
+
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cactusseam.logic.gateway.RouteDecision;
+import org.cactusseam.model.gateway.CallerRequest;
+import org.cactusseam.model.gateway.Continuation;
+import org.cactusseam.model.gateway.GatewayService;
+import org.cactusseam.model.gateway.ServerInstance;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request that is answered by a stream of events. The stream continues at another server when its
+ * server goes: from a copy of the run's memory, or, where the route allows it, as a new run after
+ * the last event. The caller sees one answer, with the head of the first server.
+ */
+final class StreamExchange extends Exchange {
+
+  private static final int STATUS_OK = 200;
+
+  private final HttpServerResponse response;
+  private @Nullable StreamRun current;
+  private boolean headWritten;
+  private OptionalLong lastEvent = OptionalLong.empty();
+  private int continuations;
+
+  StreamExchange(
+      Gateway gateway,
+      HttpServerRequest incoming,
+      Buffer body,
+      CallerRequest head,
+      RouteDecision.Accepted accepted,
+      GatewayService service,
+      Instant receivedAt) {
+    super(gateway, incoming, body, head, accepted, service, receivedAt);
+    this.response = incoming.response();
+    // The caller resumes a stream of its own: its last event counts as delivered.
+    head.lastEventId().ifPresent(this::resumeAfter);
+  }
+
+  private void resumeAfter(String id) {
+    try {
+      lastEvent = OptionalLong.of(Long.parseLong(id));
+    } catch (NumberFormatException e) {
+      log.info("unknown_event_identity", field("last_event", id));
+    }
+  }
+
+  @Override
+  void send(ServerInstance server) {
+    start(server, Optional.empty());
+  }
+
+  private void start(ServerInstance server, Optional<Continuation> continuation) {
+    countSend(server);
+    current = new StreamRun(this, server, backupFor(server), continuation);
+    current.start();
+  }
+
+  /** A run that may not be repeated is copied to another engine while it grows. */
+  private Optional<ServerInstance> backupFor(ServerInstance server) {
+    boolean copies = service.engine().filter(engine -> engine.copiesRuns()).isPresent();
+    return copies && !route.repetition().isRepeatable()
+        ? gateway.placement().chooseBackup(need(), server)
+        : Optional.empty();
+  }
+
+  Optional<String> lastEventId() {
+    return lastEvent.isPresent()
+        ? Optional.of(Long.toString(lastEvent.getAsLong()))
+        : head.lastEventId();
+  }
+
+  /** Writes the head of the answer once, with the headers of the first server. */
+  void head(StreamRun run) {
+    if (!headWritten) {
+      headWritten = true;
+      response.setStatusCode(STATUS_OK).setChunked(true);
+      response.headers().addAll(run.answerHeaders());
+    }
+  }
+
+  void event(StreamRun run, EventSplitter.Event event) {
+    if (isFinished() || run != current) {
+      return;
+    }
+    if (event.id().isPresent()
+        && lastEvent.isPresent()
+        && event.id().getAsLong() <= lastEvent.getAsLong()) {
+      return;
+    }
+    head(run);
+    if (event.id().isPresent()) {
+      lastEvent = event.id();
+    }
+    response.write(event.bytes());
+    if (response.writeQueueFull()) {
+      run.pause();
+      response.drainHandler(drained -> run.resume());
+    }
+  }
+
+  void completed(StreamRun run) {
+    if (isFinished() || run != current) {
+      return;
+    }
+    head(run);
+    logEnd("answered", STATUS_OK, "stream with " + continuations + " continuations");
+    finish();
+    response.end();
+    closeIfDraining();
+  }
+
+  /** The server answered with a failure of its own, which is passed on. */
+  void serverFailed(StreamRun run, int status, Buffer content) {
+    if (isFinished() || run != current) {
+      return;
+    }
+    if (headWritten) {
+      breakOff("the server failed with status " + status);
+      return;
+    }
+    logEnd("answered", status, "failure");
+    finish();
+    response.setStatusCode(status);
+    response.headers().addAll(run.answerHeaders());
+    response.end(content);
+    closeIfDraining();
+  }
+
+  /** The server has not run the request and will not run it. */
+  void notRun(StreamRun run, String reason) {
+    if (isFinished() || run != current) {
+      return;
+    }
+    current = null;
+    excluded.add(run.server().id());
+    if (run.isContinuation()) {
+      continueElsewhere(run, reason);
+    } else if (gateway.placement().isServable(need()) && gateway.tryRetry(service.name())) {
+      log.info("retry", field("after", run.server().id()), field("reason", reason));
+      seekPlace();
+    } else {
+      end(reason);
+    }
+  }
+
+  /** The stream of a run ended before its end. */
+  void broken(StreamRun run, String reason) {
+    if (isFinished() || run != current) {
+      return;
+    }
+    current = null;
+    excluded.add(run.server().id());
+    log.info(
+        "stream_broken",
+        field("server", run.server().id()),
+        field("reason", reason),
+        field("last_event", lastEvent.isPresent() ? lastEvent.getAsLong() : "none"),
+        field("backup", run.backup().map(ServerInstance::id).orElse("none")));
+    continueElsewhere(run, reason);
+  }
+
+  private void continueElsewhere(StreamRun run, String reason) {
+    Optional<StreamRun.Copy> copy = run.takeCopy();
+    if (copy.isPresent() && gateway.tryRetry(service.name())) {
+      continueFrom(copy.get());
+    } else if (route.repetition().isRepeatable()
+        && runs < route.maximumRuns()
+        && gateway.placement().isServable(need())
+        && gateway.tryRetry(service.name())) {
+      log.info("resumed", field("after", run.server().id()), field("reason", reason));
+      seekPlace();
+    } else {
+      end(reason);
+    }
+  }
+
+  /** Continues the run at the server that holds a copy of its memory. */
+  private void continueFrom(StreamRun.Copy copy) {
+    continuations++;
+    gateway.metrics().continued(route.name());
+    log.info(
+        "continued",
+        field("server", copy.server().id()),
+        field("handle", copy.continuation().handle()),
+        field("last_event", lastEvent.isPresent() ? lastEvent.getAsLong() : "none"));
+    start(copy.server(), Optional.of(copy.continuation()));
+  }
+
+  private void end(String reason) {
+    if (headWritten) {
+      breakOff(reason);
+    } else if (runs == 0) {
+      refuse(reason);
+    } else {
+      failMayHaveRun(reason);
+    }
+  }
+
+  /** Closes the connection, so that the answer does not look complete. */
+  private void breakOff(String reason) {
+    logEnd("broken_off", STATUS_OK, reason);
+    finish();
+    incoming.connection().close();
+  }
+
+  @Override
+  void cancel() {
+    if (current != null) {
+      current.abort();
+      current = null;
+    }
+  }
+
+  @Override
+  void noPlace() {
+    end("all servers are busy");
+  }
+
+  @Override
+  void timedOut() {
+    if (headWritten) {
+      breakOff("the time limit is over");
+    } else if (runs == 0) {
+      refuse("no server within the time limit");
+    } else {
+      failTimeout("no event within the time limit");
+    }
+    cancel();
+  }
+
+  @Override
+  void tick(Instant now) {
+    if (current != null) {
+      current.tick(now);
+    }
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/package-info.java
@@ -0,0 +1,9 @@
+/**
+ * The gateway's input and output: callers, backend servers, peers, readiness and shutdown. What is
+ * particular to one platform comes in through {@link org.cactusseam.edge.gateway.Translation} and
+ * {@link org.cactusseam.edge.gateway.EngineCalls}.
+ */
+@NullMarked
+package org.cactusseam.edge.gateway;
+
+import org.jspecify.annotations.NullMarked;
