Exchange loads and store records between gateways, keep copies by run

Copies now belong to the request, and a rejected run adds none. A run whose engine leaves is moved always, because a backup may not have received much. Gateways tell each other the load that they have placed and pass records of the store on to those that it turns away.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -35,6 +35,11 @@
   /** Cost of a server that fails all its requests, in parts of a full server. */
   private static final double FAILURES = 3;
 
+  /**
+   * Cost of a server that has just started, in parts of a full server: its first steps are slow.
+   */
+  private static final double WARMING_UP = 0.4;
+
   private final Clock clock;
   private final Location location;
   private final ServerTable servers;
@@ -217,7 +222,8 @@
     OptionalInt memory = memory(need.service());
     double tokens =
         memory.isPresent() ? (load.tokens() + need.tokens()) / (double) memory.getAsInt() : 0;
-    return runs + tokens + distance(server) + FAILURES * health.failureShare(server.id());
+    double warmUp = servers.isWarmingUp(server.id(), clock.instant()) ? WARMING_UP : 0;
+    return runs + tokens + warmUp + distance(server) + FAILURES * health.failureShare(server.id());
   }
 
   private double distance(ServerInstance server) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerTable.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,19 +23,21 @@
   /** Entries of live servers are back within about 2 s of the store's return (users' request). */
   public static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
 
+  /** A server that has just started is slow for some seconds (PROTOCOL page). */
+  static final Duration WARM_UP = Duration.ofSeconds(2);
+
   private final Map<String, Entry> entries = new HashMap<>();
   private final Set<String> evacuated = new HashSet<>();
   private Instant graceUntil = Instant.MIN;
 
   private static final class Entry {
     private ServerInstance instance;
-    private Instant changedAt;
+    private final Instant listedAt;
     private boolean absent;
-    private boolean announcedLeaving;
 
-    Entry(ServerInstance instance, Instant changedAt) {
+    Entry(ServerInstance instance, Instant listedAt) {
       this.instance = instance;
-      this.changedAt = changedAt;
+      this.listedAt = listedAt;
     }
   }
 
@@ -54,7 +55,6 @@
       return true;
     }
     known.instance = instance;
-    known.changedAt = now;
     known.absent = false;
     return false;
   }
@@ -70,7 +70,7 @@
     if (entry == null) {
       return;
     }
-    if (entry.instance.leaving() || entry.announcedLeaving || !now.isBefore(graceUntil)) {
+    if (entry.instance.leaving() || !now.isBefore(graceUntil)) {
       entries.remove(id);
     } else {
       entry.absent = true;
@@ -78,19 +78,14 @@
   }
 
   /**
-   * Takes the whole list of servers.
+   * Takes the whole list of servers: all others have disappeared.
    *
-   * @param instances descriptions
+   * @param ids servers that are listed
    * @param now time
    */
-  public void replaceAll(Collection<ServerInstance> instances, Instant now) {
-    Set<String> present = new HashSet<>();
-    for (ServerInstance instance : instances) {
-      put(instance, now);
-      present.add(instance.id());
-    }
+  public void retainOnly(Set<String> ids, Instant now) {
     for (String id : List.copyOf(entries.keySet())) {
-      if (!present.contains(id)) {
+      if (!ids.contains(id)) {
         remove(id, now);
       }
     }
@@ -117,23 +112,25 @@
   }
 
   /**
-   * A server itself has announced that it leaves, before its entry says so.
+   * Takes a failure domain out of service, or brings it back.
    *
-   * @param id server
+   * @param failureDomain name
+   * @param out whether it is out of service
    */
-  public void announceLeaving(String id) {
-    Entry entry = entries.get(id);
-    if (entry != null) {
-      entry.announcedLeaving = true;
+  public void evacuate(String failureDomain, boolean out) {
+    if (out) {
+      evacuated.add(failureDomain);
+    } else {
+      evacuated.remove(failureDomain);
     }
   }
 
   /**
-   * Takes the failure domains that operators have taken out of service.
+   * Takes the whole list of failure domains that are out of service.
    *
    * @param failureDomains names
    */
-  public void evacuate(Set<String> failureDomains) {
+  public void evacuateOnly(Set<String> failureDomains) {
     evacuated.clear();
     evacuated.addAll(failureDomains);
   }
@@ -155,9 +152,7 @@
   }
 
   private boolean isUsable(Entry entry) {
-    return !entry.instance.leaving()
-        && !entry.announcedLeaving
-        && !evacuated.contains(entry.instance.failureDomain());
+    return !entry.instance.leaving() && !evacuated.contains(entry.instance.failureDomain());
   }
 
   /**
@@ -171,6 +166,19 @@
     return entry != null && entry.instance.isSameRun(instance) && isUsable(entry);
   }
 
+  /**
+   * Returns whether a server has started a short time ago. Such servers are slow for some seconds.
+   *
+   * @param id server
+   * @param now time
+   * @return whether it still warms up
+   */
+  public boolean isWarmingUp(String id, Instant now) {
+    Entry entry = entries.get(id);
+    return entry != null
+        && (entry.listedAt.plus(WARM_UP).isAfter(now) || !entry.instance.coldFor().isZero());
+  }
+
   /**
    * Returns the present description of a server.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
@@ -1,6 +1,5 @@
 package org.cactusseam.edge.gateway;
 
-import java.util.Collection;
 import java.util.Set;
 import org.cactusseam.model.gateway.GatewayConfiguration;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -16,18 +15,26 @@
   void configuration(GatewayConfiguration configuration);
 
   /**
-   * The failure domains that are out of service were read.
+   * A failure domain was taken out of service or brought back.
+   *
+   * @param failureDomain name
+   * @param out whether it is out of service
+   */
+  void evacuated(String failureDomain, boolean out);
+
+  /**
+   * The whole list of failure domains that are out of service was read.
    *
    * @param failureDomains names of all of them
    */
-  void evacuated(Set<String> failureDomains);
+  void allEvacuated(Set<String> failureDomains);
 
   /**
-   * The whole list of servers was read.
+   * The whole list of servers was read; the entries of all others are gone.
    *
-   * @param servers servers
+   * @param ids servers that are listed
    */
-  void allServers(Collection<ServerInstance> servers);
+  void onlyServers(Set<String> ids);
 
   /**
    * The entry of a server was read.
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -0,0 +1,34 @@
+package org.cactusseam.edge.gateway;
+
+import java.util.Map;
+import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.model.gateway.StoreRecord;
+
+/** Messages between gateways. Each one may be lost; the next one replaces it. */
+sealed interface GatewayMessage {
+
+  /**
+   * Load that a gateway has placed at the servers.
+   *
+   * @param node gateway
+   * @param loads load by server
+   */
+  record Loads(String node, Map<String, LoadBoard.ServerLoad> loads) implements GatewayMessage {}
+
+  /**
+   * A gateway cannot read the store and asks for its records.
+   *
+   * @param node gateway
+   */
+  record RecordsWanted(String node) implements GatewayMessage {}
+
+  /**
+   * A record of the store.
+   *
+   * @param record record
+   */
+  record Relayed(StoreRecord record) implements GatewayMessage {}
+
+  /** Answer to {@link Loads}: the connection is alive. */
+  record Received() implements GatewayMessage {}
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -0,0 +1,195 @@
+package org.cactusseam.edge.gateway;
+
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.edge.peer.FrameReader;
+import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.model.gateway.StoreRecord;
+
+/**
+ * Exchange with the other gateways: each tells the load that it has placed, and passes records of
+ * the store on to those that cannot read it.
+ */
+final class GatewayPeers {
+
+  private static final StructuredLog LOG = StructuredLog.of(GatewayPeers.class);
+
+  /** Shortest time between two messages to a peer; placement works with loads of this age. */
+  private static final Duration SHORTEST_INTERVAL = Duration.ofMillis(150);
+
+  /** Further time for each peer, so that a VM sends at most 60 messages a second. */
+  private static final Duration INTERVAL_PER_PEER = Duration.ofMillis(16);
+
+  /** Time after which a message is sent although nothing has changed; see the timeout of loads. */
+  private static final Duration LONGEST_INTERVAL = Duration.ofMillis(1_000);
+
+  /** Time between two requests for records. */
+  private static final Duration WANTED_INTERVAL = Duration.ofMillis(700);
+
+  /** Records are passed on for this long after each request for them. */
+  private static final Duration SUBSCRIPTION = Duration.ofMillis(2_000);
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  /** Half-open connections are closed when messages stop arriving. */
+  private static final int IDLE_TIMEOUT_SECONDS = 10;
+
+  private final Gateway gateway;
+  private final RecordRelay relay;
+  private final NetServer server;
+  private final NetClient client;
+  private final Map<String, GatewayPeerLink> links = new TreeMap<>();
+  private final Map<String, Instant> subscribers = new HashMap<>();
+  private Map<String, LoadBoard.ServerLoad> sentLoads = Map.of();
+  private Instant sentAt = Instant.MIN;
+  private Instant wantedAt = Instant.MIN;
+  private int wantedFrom;
+
+  GatewayPeers(Gateway gateway, RecordRelay relay) {
+    this.gateway = gateway;
+    this.relay = relay;
+    this.server =
+        gateway
+            .vertx()
+            .createNetServer(
+                new NetServerOptions().setTcpNoDelay(true).setIdleTimeout(IDLE_TIMEOUT_SECONDS))
+            .connectHandler(this::accept);
+    this.client =
+        gateway
+            .vertx()
+            .createNetClient(
+                new NetClientOptions()
+                    .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                    .setTcpNoDelay(true));
+    relay.onRead(this::passOn);
+  }
+
+  Future<Void> listen() {
+    GatewaySettings settings = gateway.settings();
+    return server.listen(settings.peerPort(), settings.host()).mapEmpty();
+  }
+
+  void connect(String node, String host, int port) {
+    GatewayPeerLink known = links.get(node);
+    if (node.equals(gateway.settings().node()) || (known != null && known.leadsTo(host, port))) {
+      return;
+    }
+    if (known != null) {
+      known.stop();
+    }
+    GatewayPeerLink link =
+        new GatewayPeerLink(gateway.vertx(), gateway.clock(), client, node, host, port);
+    links.put(node, link);
+    gateway.vms(links.size() + 1);
+    link.dial();
+  }
+
+  void tick(Instant now) {
+    sendLoads(now);
+    subscribers.values().removeIf(until -> until.isBefore(now));
+    if (relay.isStoreAway() && wantedAt.plus(WANTED_INTERVAL).isBefore(now)) {
+      wantedAt = now;
+      askForRecords();
+    }
+  }
+
+  private void sendLoads(Instant now) {
+    Duration interval = INTERVAL_PER_PEER.multipliedBy(links.size());
+    if (interval.compareTo(SHORTEST_INTERVAL) < 0) {
+      interval = SHORTEST_INTERVAL;
+    }
+    Map<String, LoadBoard.ServerLoad> loads = gateway.loads().own();
+    boolean due = sentAt.plus(interval).isBefore(now) && !loads.equals(sentLoads);
+    if (due || sentAt.plus(LONGEST_INTERVAL).isBefore(now)) {
+      sentAt = now;
+      sentLoads = loads;
+      Buffer frame =
+          GatewayMessageCodec.encode(new GatewayMessage.Loads(gateway.settings().node(), loads));
+      links.values().forEach(link -> link.send(frame));
+    }
+  }
+
+  /** Asks one peer after the other, because some of them may be turned away as well. */
+  private void askForRecords() {
+    List<GatewayPeerLink> open =
+        new ArrayList<>(links.values().stream().filter(GatewayPeerLink::isOpen).toList());
+    if (!open.isEmpty()) {
+      Buffer frame =
+          GatewayMessageCodec.encode(new GatewayMessage.RecordsWanted(gateway.settings().node()));
+      open.get(Math.floorMod(wantedFrom++, open.size())).send(frame);
+    }
+  }
+
+  private void passOn(StoreRecord record) {
+    if (!subscribers.isEmpty()) {
+      Buffer frame = GatewayMessageCodec.encode(new GatewayMessage.Relayed(record));
+      subscribers.keySet().forEach(node -> send(node, frame));
+    }
+  }
+
+  private void send(String node, Buffer frame) {
+    GatewayPeerLink link = links.get(node);
+    if (link != null) {
+      link.send(frame);
+    }
+  }
+
+  private void accept(NetSocket socket) {
+    socket.exceptionHandler(cause -> socket.close());
+    socket.handler(
+        new FrameReader(
+            frame ->
+                GatewayMessageCodec.decode(frame)
+                    .onSuccess(message -> receive(socket, message))
+                    .onFailure(cause -> reject(socket, String.valueOf(cause.getMessage()))),
+            fault -> reject(socket, fault)));
+  }
+
+  private void reject(NetSocket socket, String reason) {
+    LOG.warn(
+        "peer_message_rejected", field("remote", socket.remoteAddress()), field("reason", reason));
+    socket.close();
+  }
+
+  private void receive(NetSocket socket, GatewayMessage message) {
+    switch (message) {
+      case GatewayMessage.Loads loads -> {
+        gateway.loads().peerLoads(loads.node(), loads.loads(), gateway.clock().instant());
+        socket.write(GatewayMessageCodec.encode(new GatewayMessage.Received()));
+      }
+      case GatewayMessage.RecordsWanted wanted -> subscribe(wanted.node());
+      case GatewayMessage.Relayed relayed -> relay.relayed(relayed.record());
+      case GatewayMessage.Received received -> {
+        // Only dialled connections carry it; the link counts it as a sign of life.
+      }
+    }
+  }
+
+  private void subscribe(String node) {
+    if (relay.isStoreAway()) {
+      return;
+    }
+    Instant until = gateway.clock().instant().plus(SUBSCRIPTION);
+    if (subscribers.put(node, until) == null) {
+      LOG.info("records_passed_on", field("to", node));
+      for (StoreRecord record : relay.newest()) {
+        send(node, GatewayMessageCodec.encode(new GatewayMessage.Relayed(record)));
+      }
+    }
+  }
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Future;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Collection;
 import java.util.Set;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.model.gateway.GatewayConfiguration;
@@ -30,6 +29,7 @@
 
   private final Gateway gateway;
   private final GatewayServer server;
+  private final GatewayPeers peers;
   private final Runnable exit;
   private Instant drainingSince = Instant.MAX;
   private boolean closing;
@@ -38,11 +38,13 @@
    * Creates a process.
    *
    * @param gateway its state
+   * @param relay records of the store that gateways pass on
    * @param exit ends the process
    */
-  public GatewayProcess(Gateway gateway, Runnable exit) {
+  public GatewayProcess(Gateway gateway, RecordRelay relay, Runnable exit) {
     this.gateway = gateway;
     this.server = new GatewayServer(gateway);
+    this.peers = new GatewayPeers(gateway, relay);
     this.exit = exit;
   }
 
@@ -53,7 +55,7 @@
    */
   public Future<Void> start() {
     gateway.vertx().setPeriodic(TICK_MILLIS, timer -> tick());
-    return server.listen();
+    return server.listen().compose(opened -> peers.listen());
   }
 
   private void tick() {
@@ -61,6 +63,7 @@
     gateway.servers().tick(now);
     gateway.loads().tick(now);
     gateway.placement().tick();
+    peers.tick(now);
     gateway.active().forEach(exchange -> exchange.tick(now));
     gateway.offerPlaces();
     if (gateway.isDraining() && !closing) {
@@ -100,15 +103,20 @@
   }
 
   @Override
-  public void evacuated(Set<String> failureDomains) {
-    LOG.info("evacuated", field("domains", failureDomains));
-    gateway.servers().evacuate(failureDomains);
+  public void evacuated(String failureDomain, boolean out) {
+    LOG.info("evacuation", field("domain", failureDomain), field("out", out));
+    gateway.servers().evacuate(failureDomain, out);
   }
 
   @Override
-  public void allServers(Collection<ServerInstance> servers) {
-    gateway.servers().replaceAll(servers, gateway.clock().instant());
-    LOG.info("servers", field("number", servers.size()));
+  public void allEvacuated(Set<String> failureDomains) {
+    gateway.servers().evacuateOnly(failureDomains);
+  }
+
+  @Override
+  public void onlyServers(Set<String> ids) {
+    LOG.info("servers", field("listed", ids.size()));
+    gateway.servers().retainOnly(ids, gateway.clock().instant());
   }
 
   @Override
@@ -142,6 +150,6 @@
 
   @Override
   public void peer(String node, String host, int port) {
-    LOG.info("peer_found", field("peer", node), field("host", host), field("port", port));
+    peers.connect(node, host, port);
   }
 }
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordRelay.java
@@ -0,0 +1,40 @@
+package org.cactusseam.edge.gateway;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.cactusseam.model.gateway.StoreRecord;
+
+/**
+ * Records of the platform's store that gateways pass on to each other. The store may turn some VMs
+ * away for longer than a change of the configuration may take.
+ */
+public interface RecordRelay {
+
+  /**
+   * Returns the newest record of each key.
+   *
+   * @return records
+   */
+  List<StoreRecord> newest();
+
+  /**
+   * Takes a record from another gateway. It is ignored if a newer one is known.
+   *
+   * @param record record
+   */
+  void relayed(StoreRecord record);
+
+  /**
+   * Returns whether this gateway cannot read the store.
+   *
+   * @return whether the last read failed
+   */
+  boolean isStoreAway();
+
+  /**
+   * Sets the receiver of records that this gateway reads itself.
+   *
+   * @param receiver receiver
+   */
+  void onRead(Consumer<StoreRecord> receiver);
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cactusseam.logic.gateway.RouteDecision;
+import org.cactusseam.logic.gateway.RunCopies;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.Continuation;
 import org.cactusseam.model.gateway.GatewayService;
@@ -28,6 +29,7 @@
   private @Nullable StreamRun current;
   private boolean headWritten;
   private OptionalLong lastEvent = OptionalLong.empty();
+  private final RunCopies copies = new RunCopies();
   private int continuations;
 
   StreamExchange(
@@ -168,7 +170,7 @@
   }
 
   private void continueElsewhere(StreamRun run, String reason) {
-    Optional<StreamRun.Copy> copy = run.takeCopy();
+    Optional<RunCopies.Copy> copy = copies.take(gateway.servers()::isUsable);
     if (copy.isPresent() && gateway.tryRetry(service.name())) {
       continueFrom(copy.get());
     } else if (route.repetition().isRepeatable()
@@ -182,16 +184,20 @@
     }
   }
 
+  RunCopies copies() {
+    return copies;
+  }
+
   /** Continues the run at the server that holds a copy of its memory. */
-  private void continueFrom(StreamRun.Copy copy) {
+  private void continueFrom(RunCopies.Copy copy) {
     continuations++;
     gateway.metrics().continued(route.name());
     log.info(
         "continued",
-        field("server", copy.server().id()),
+        field("server", copy.holder().id()),
         field("handle", copy.continuation().handle()),
         field("last_event", lastEvent.isPresent() ? lastEvent.getAsLong() : "none"));
-    start(copy.server(), Optional.of(copy.continuation()));
+    start(copy.holder(), Optional.of(copy.continuation()));
   }
 
   private void end(String reason) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.cactusseam.logic.gateway.RunCopies.Copy;
 import org.cactusseam.model.gateway.Continuation;
 import org.cactusseam.model.gateway.EngineTraits;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -35,8 +36,6 @@
   private final EventSplitter splitter;
   private @Nullable HttpClientRequest outgoing;
   private @Nullable HttpClientResponse response;
-  private @Nullable Copy moved;
-  private boolean backupTaken;
   private boolean moving;
   private boolean stopping;
   private Optional<String> endedWhileStopping = Optional.empty();
@@ -44,14 +43,6 @@
   private boolean over;
   private Instant heardAt;
 
-  /**
-   * A copy of the run's memory.
-   *
-   * @param server server that continues the run
-   * @param continuation names the copy
-   */
-  record Copy(ServerInstance server, Continuation continuation) {}
-
   StreamRun(
       StreamExchange exchange,
       ServerInstance server,
@@ -188,26 +179,15 @@
       endedWhileStopping = Optional.of(reason);
       return;
     }
-    if (moved == null) {
-      gateway.health().unreachable(server.id(), gateway.clock().instant());
-    }
+    gateway.health().unreachable(server.id(), gateway.clock().instant());
+    backup.ifPresent(this::addBackup);
     exchange.broken(this, reason);
   }
 
-  /** Takes the copy from which the run can continue; each copy is used once. */
-  Optional<Copy> takeCopy() {
-    if (moved != null) {
-      Copy copy = moved;
-      moved = null;
-      return Optional.of(copy);
-    }
-    if (backup.isEmpty() || backupTaken || !gateway.servers().isUsable(backup.get())) {
-      return Optional.empty();
-    }
-    backupTaken = true;
-    ServerInstance holder = backup.get();
-    return Optional.of(
-        new Copy(holder, new Continuation(holder.address(), exchange.head.attemptId())));
+  private void addBackup(ServerInstance holder) {
+    exchange
+        .copies()
+        .add(new Copy(holder, new Continuation(holder.address(), exchange.head.attemptId())));
   }
 
   void tick(Instant now) {
@@ -222,10 +202,12 @@
     }
   }
 
+  /** A move confirms that the copy is complete; a backup may not have received much yet. */
   private boolean needsMove() {
-    boolean copied = backup.filter(gateway.servers()::isUsable).isPresent();
     boolean moves = exchange.service.engine().filter(EngineTraits::movesRuns).isPresent();
-    return !copied && moves && !gateway.servers().isUsable(server);
+    return moves
+        && !exchange.route.repetition().isRepeatable()
+        && !gateway.servers().isUsable(server);
   }
 
   private void move() {
@@ -261,10 +243,8 @@
 
   private void stopped(EngineCalls.MoveResult result, ServerInstance to) {
     switch (result) {
-      case EngineCalls.MoveResult.Copied copy ->
-          moved = new Copy(to, new Continuation(server.address(), copy.handle()));
-      case EngineCalls.MoveResult.StoppedAtSource copy ->
-          moved = new Copy(server, new Continuation(server.address(), copy.handle()));
+      case EngineCalls.MoveResult.Copied copy -> addMoved(to, copy.handle());
+      case EngineCalls.MoveResult.StoppedAtSource copy -> addMoved(server, copy.handle());
       case EngineCalls.MoveResult.Rejected rejected -> {
         stopFailed(to, rejected.reason());
         return;
@@ -276,10 +256,19 @@
     exchange.broken(this, "moved");
   }
 
+  private void addMoved(ServerInstance holder, String handle) {
+    backup.ifPresent(this::addBackup);
+    exchange.copies().add(new Copy(holder, new Continuation(server.address(), handle)));
+  }
+
   private void stopFailed(ServerInstance to, String reason) {
     stopping = false;
     moveFailed(to, reason);
-    endedWhileStopping.ifPresent(ended -> exchange.broken(this, ended));
+    endedWhileStopping.ifPresent(
+        ended -> {
+          backup.ifPresent(this::addBackup);
+          exchange.broken(this, ended);
+        });
   }
 
   private void moveFailed(ServerInstance to, String reason) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/FrameReader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/FrameReader.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 
 /** Cuts the bytes of a connection into frames. After a fault it ignores all further bytes. */
-final class FrameReader implements Handler<Buffer> {
+public final class FrameReader implements Handler<Buffer> {
 
   private final RecordParser parser = RecordParser.newFixed(PeerCodec.LENGTH_BYTES);
   private final Consumer<byte[]> frames;
@@ -20,7 +20,7 @@
    * @param frames takes the value of each frame
    * @param faults takes the description of the first fault
    */
-  FrameReader(Consumer<byte[]> frames, Consumer<String> faults) {
+  public FrameReader(Consumer<byte[]> frames, Consumer<String> faults) {
     this.frames = frames;
     this.faults = faults;
     parser.handler(this::take);
