Copy runs without a usable backup before their engine leaves

A plan decides for each run: nothing while a backup is usable, otherwise a copy that is kept up to date and a short move on notice.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RunCopies.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RunCopies.java
@@ -24,12 +24,12 @@
   public record Copy(ServerInstance holder, Continuation continuation) {}
 
   /**
-   * Adds a copy that is newer than all others.
+   * Adds copies that are newer than all others.
    *
-   * @param copy copy
+   * @param newer copies, the newest last
    */
-  public void add(Copy copy) {
-    copies.addFirst(copy);
+  public void add(Iterable<Copy> newer) {
+    newer.forEach(copies::addFirst);
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -1,14 +1,11 @@
 package org.cactusseam.edge.gateway;
 
-import static org.cactusseam.edge.logging.StructuredLog.field;
-
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import org.cactusseam.logic.gateway.RunCopies.Copy;
 import org.cactusseam.model.gateway.Continuation;
 import org.cactusseam.model.gateway.EngineTraits;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -20,7 +17,7 @@
  * engine that leaves announces it shorter before its end than a stream lasts; a run without a
  * usable copy is moved then.
  */
-final class StreamRun {
+final class StreamRun implements RunCopier.MoveListener {
 
   /**
    * Silence after which the server is asked whether it lives. Ten times the longest pause of a
@@ -34,11 +31,11 @@
   private final Optional<ServerInstance> backup;
   private final Optional<Continuation> continuation;
   private final EventSplitter splitter;
+  private final RunCopier copier;
   private @Nullable HttpClientRequest outgoing;
   private @Nullable HttpClientResponse response;
   private boolean moving;
-  private boolean stopping;
-  private Optional<String> endedWhileStopping = Optional.empty();
+  private Optional<String> endedWhileMoving = Optional.empty();
   private boolean asking;
   private boolean over;
   private Instant heardAt;
@@ -53,6 +50,7 @@
     this.server = server;
     this.backup = backup;
     this.continuation = continuation;
+    this.copier = new RunCopier(exchange, server, backup, this);
     this.splitter = new EventSplitter(event -> exchange.event(this, event));
     this.heardAt = gateway.clock().instant();
   }
@@ -77,7 +75,6 @@
 
   void start() {
     gateway.loads().started(server.id(), exchange.tokens());
-    backup.ifPresent(copy -> gateway.loads().started(copy.id(), exchange.tokens()));
     gateway
         .client()
         .request(
@@ -174,108 +171,52 @@
       return;
     }
     abort();
-    if (stopping) {
+    if (moving) {
       // A run that is stopped for a move closes its stream before the engine answers the move.
-      endedWhileStopping = Optional.of(reason);
+      endedWhileMoving = Optional.of(reason);
       return;
     }
     gateway.health().unreachable(server.id(), gateway.clock().instant());
-    backup.ifPresent(this::addBackup);
+    exchange.copies().add(copier.copies());
     exchange.broken(this, reason);
   }
 
-  private void addBackup(ServerInstance holder) {
-    exchange
-        .copies()
-        .add(new Copy(holder, new Continuation(holder.address(), exchange.head.attemptId())));
-  }
-
   void tick(Instant now) {
     if (over || response == null) {
       return;
     }
-    if (!moving && needsMove()) {
-      move();
+    if (isCopied() && copier.tick(now)) {
+      moving = true;
     }
-    if (!asking && heardAt.plus(SILENCE).isBefore(now)) {
+    if (!asking && !moving && heardAt.plus(SILENCE).isBefore(now)) {
       askWhetherAlive();
     }
   }
 
-  /** A move confirms that the copy is complete; a backup may not have received much yet. */
-  private boolean needsMove() {
-    boolean moves = exchange.service.engine().filter(EngineTraits::movesRuns).isPresent();
-    return moves
-        && !exchange.route.repetition().isRepeatable()
-        && !gateway.servers().isUsable(server);
+  private boolean isCopied() {
+    return !exchange.route.repetition().isRepeatable()
+        && exchange.service.engine().filter(EngineTraits::movesRuns).isPresent();
   }
 
-  private void move() {
-    Optional<ServerInstance> target = gateway.placement().chooseBackup(exchange.need(), server);
-    if (target.isEmpty()) {
-      return;
-    }
-    moving = true;
-    ServerInstance to = target.get();
-    exchange.log.info("move_started", field("server", server.id()), field("to", to.id()));
-    gateway
-        .engines()
-        .move(server, exchange.head.attemptId(), to, false)
-        .onSuccess(result -> copied(result, to))
-        .onFailure(cause -> moveFailed(to, String.valueOf(cause.getMessage())));
-  }
-
-  private void copied(EngineCalls.MoveResult result, ServerInstance to) {
-    if (over) {
-      return;
-    }
-    if (!(result instanceof EngineCalls.MoveResult.Copied)) {
-      moveFailed(to, result.toString());
+  @Override
+  public void moved() {
+    moving = false;
+    if (exchange.isFinished()) {
       return;
     }
-    stopping = true;
-    gateway
-        .engines()
-        .move(server, exchange.head.attemptId(), to, true)
-        .onSuccess(last -> stopped(last, to))
-        .onFailure(cause -> stopFailed(to, String.valueOf(cause.getMessage())));
-  }
-
-  private void stopped(EngineCalls.MoveResult result, ServerInstance to) {
-    switch (result) {
-      case EngineCalls.MoveResult.Copied copy -> addMoved(to, copy.handle());
-      case EngineCalls.MoveResult.StoppedAtSource copy -> addMoved(server, copy.handle());
-      case EngineCalls.MoveResult.Rejected rejected -> {
-        stopFailed(to, rejected.reason());
-        return;
-      }
-    }
-    stopping = false;
-    exchange.log.info("moved", field("server", server.id()), field("to", to.id()));
     abort();
+    exchange.copies().add(copier.copies());
     exchange.broken(this, "moved");
   }
 
-  private void addMoved(ServerInstance holder, String handle) {
-    backup.ifPresent(this::addBackup);
-    exchange.copies().add(new Copy(holder, new Continuation(server.address(), handle)));
-  }
-
-  private void stopFailed(ServerInstance to, String reason) {
-    stopping = false;
-    moveFailed(to, reason);
-    endedWhileStopping.ifPresent(
-        ended -> {
-          backup.ifPresent(this::addBackup);
-          exchange.broken(this, ended);
-        });
-  }
-
-  private void moveFailed(ServerInstance to, String reason) {
-    exchange.log.info(
-        "move_failed", field("server", server.id()), field("to", to.id()), field("reason", reason));
-    // The next tick tries again, with another server if this one is full or gone by then.
+  @Override
+  public void notMoved() {
     moving = false;
+    endedWhileMoving.ifPresent(
+        reason -> {
+          exchange.copies().add(copier.copies());
+          exchange.broken(this, reason);
+        });
   }
 
   private void askWhetherAlive() {
@@ -317,7 +258,7 @@
     }
     over = true;
     gateway.loads().ended(server.id(), exchange.tokens());
-    backup.ifPresent(copy -> gateway.loads().ended(copy.id(), exchange.tokens()));
+    copier.close();
     gateway.vertx().runOnContext(ignored -> gateway.offerPlaces());
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/logging/BoundedLog.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/logging/BoundedLog.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.logging;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -26,6 +28,12 @@
   /** Lines that wait for a slow reader of standard output; some 200 bytes each. */
   private static final int QUEUE_LINES = 4_096;
 
+  /**
+   * Lost connections are reported to their users, which log them with the request; the library
+   * would log each one again.
+   */
+  private static final Logger LIBRARY_LOGGER = Logger.getLogger("io.vertx.core.net.impl");
+
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
   private final AtomicLong dropped = new AtomicLong();
   private final OutputStream output;
@@ -37,11 +45,15 @@
   /** Sends the log of the whole process to standard output. */
   public static void install() {
     System.setProperty("org.jboss.logging.provider", "jdk");
+    System.setProperty(
+        "vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.JULLogDelegateFactory");
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     LogManager.getLogManager().reset();
     BoundedLog handler = new BoundedLog(new FileOutputStream(FileDescriptor.out));
     Logger root = Logger.getLogger("");
     root.addHandler(handler);
     root.setLevel(Level.INFO);
+    LIBRARY_LOGGER.setLevel(Level.OFF);
     Thread writer = new Thread(handler::writeLines, "log-writer");
     writer.setDaemon(true);
     writer.start();
