Move runs on notice, and stop them just before their engine ends

Moved runs paused for 200 to 800 ms, because the last part of a copy waited on the link behind whole copies of other runs. Backups only where memory is plentiful (none for now).

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
@@ -8,29 +8,31 @@
 import org.cactusseam.model.gateway.ServerInstance;
 
 /**
- * Decides when the memory of one run is copied to another engine, and when the run moves there.
- * Answers the load pattern in which engines leave every few seconds, with less notice than the
- * copies of all their runs take: one link carries the copies one after the other, so a run that has
- * no usable backup is copied before its engine announces that it leaves, and only the rest is left
- * to copy then. At most one call for a run is in progress.
+ * Decides when one run moves from an engine that leaves to another one. Answers the load pattern in
+ * which engines leave every few seconds with several long runs on each.
+ *
+ * <p>The memory is copied first while the run goes on. The run stops only shortly before the engine
+ * ends: one link carries the copies of all runs of the engine one after the other, and a run that
+ * stopped at once would wait behind the whole copies of the others. At most one call for a run is
+ * in progress.
  */
 public final class CopyPlan {
 
-  /**
-   * Age at which a copy is brought up to date. Engines keep a copy for 5 s after its last part
-   * (configuration of both deployments), and a copy of this age lacks some 300 tokens at most.
-   */
-  static final Duration REFRESH = Duration.ofMillis(2_500);
-
   /** Pause after a rejected copy: room at other engines appears when one of their runs ends. */
-  static final Duration RETRY = Duration.ofMillis(250);
+  static final Duration RETRY = Duration.ofMillis(100);
 
-  private Optional<Held> held = Optional.empty();
+  private Optional<Copy> copy = Optional.empty();
   private final Set<String> rejectedBy = new HashSet<>();
   private Instant nextAttempt = Instant.MIN;
   private boolean inProgress;
 
-  private record Held(ServerInstance holder, String handle, Instant updatedAt) {}
+  /**
+   * A complete copy.
+   *
+   * @param holder engine that holds it
+   * @param handle its identity at the source
+   */
+  public record Copy(ServerInstance holder, String handle) {}
 
   /** What is to be done for the run. */
   public sealed interface Step {
@@ -43,14 +45,14 @@
      *
      * @param target engine that receives the copy
      */
-    record Copy(ServerInstance target) implements Step {}
+    record CopyTo(ServerInstance target) implements Step {}
 
     /**
      * Stop the run, copy the rest, and continue at the target.
      *
      * @param target engine that continues the run
      */
-    record Move(ServerInstance target) implements Step {}
+    record MoveTo(ServerInstance target) implements Step {}
   }
 
   /** What the plan asks of the other engines. */
@@ -76,34 +78,23 @@
   /**
    * Decides the next step.
    *
-   * @param source engine of the run
-   * @param backup engine that receives the run's memory as it grows, if there is one
+   * @param stopAt time at which runs stop at the engine, absent if it does not leave
    * @param engines the other engines
    * @param now time
    * @return step; a copy or a move counts as in progress until its result is told
    */
-  public Step next(
-      ServerInstance source, Optional<ServerInstance> backup, Engines engines, Instant now) {
-    held = held.filter(copy -> engines.isUsable(copy.holder()));
-    if (inProgress || now.isBefore(nextAttempt) || backup.filter(engines::isUsable).isPresent()) {
+  public Step next(Optional<Instant> stopAt, Engines engines, Instant now) {
+    copy = copy.filter(held -> engines.isUsable(held.holder()));
+    if (inProgress || stopAt.isEmpty() || now.isBefore(nextAttempt)) {
       return new Step.Nothing();
     }
-    Step step = engines.isUsable(source) ? keep(engines, now) : leave(engines);
+    Step step = copy.isPresent() ? moveInTime(stopAt.get(), now) : copyToAny(engines);
     inProgress = !(step instanceof Step.Nothing);
     return step;
   }
 
-  private Step keep(Engines engines, Instant now) {
-    if (held.isEmpty()) {
-      return copyToAny(engines);
-    }
-    return held.get().updatedAt().plus(REFRESH).isAfter(now)
-        ? new Step.Nothing()
-        : new Step.Copy(held.get().holder());
-  }
-
-  private Step leave(Engines engines) {
-    return held.isPresent() ? new Step.Move(held.get().holder()) : copyToAny(engines);
+  private Step moveInTime(Instant stopAt, Instant now) {
+    return now.isBefore(stopAt) ? new Step.Nothing() : new Step.MoveTo(copy.orElseThrow().holder());
   }
 
   private Step copyToAny(Engines engines) {
@@ -112,7 +103,7 @@
       rejectedBy.clear();
       return new Step.Nothing();
     }
-    return new Step.Copy(target.get());
+    return new Step.CopyTo(target.get());
   }
 
   /**
@@ -120,11 +111,10 @@
    *
    * @param holder engine that holds it
    * @param handle its identity
-   * @param now time
    */
-  public void copied(ServerInstance holder, String handle, Instant now) {
+  public void copied(ServerInstance holder, String handle) {
     inProgress = false;
-    held = Optional.of(new Held(holder, handle, now));
+    copy = Optional.of(new Copy(holder, handle));
   }
 
   /**
@@ -135,25 +125,17 @@
    */
   public void failed(ServerInstance target, Instant now) {
     inProgress = false;
-    held = Optional.empty();
+    copy = Optional.empty();
     rejectedBy.add(target.id());
     nextAttempt = now.plus(RETRY);
   }
 
   /**
-   * Returns the copy that was made, for a run that broke off.
+   * Returns the copy that was made.
    *
-   * @return holder and handle of the copy
+   * @return copy, if there is one
    */
-  public Optional<HeldCopy> copy() {
-    return held.map(copy -> new HeldCopy(copy.holder(), copy.handle()));
+  public Optional<Copy> copy() {
+    return copy;
   }
-
-  /**
-   * A complete copy.
-   *
-   * @param holder engine that holds it
-   * @param handle its identity at the source
-   */
-  public record HeldCopy(ServerInstance holder, String handle) {}
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -26,12 +25,20 @@
    */
   private static final double MEMORY_PART = 0.9;
 
+  /** Part of an engine's memory up to which it takes backups. */
+  private static final double BACKUP_MEMORY_PART = 0.0;
+
   /** Cost of another region, in parts of a full server: its link is slow and billed by volume. */
   private static final double OTHER_REGION = 0.35;
 
   /** Cost of another failure domain of the same region, in parts of a full server. */
   private static final double OTHER_FAILURE_DOMAIN = 0.04;
 
+  /**
+   * Cost of a copy in another failure domain, in parts of a full server: it takes twice as long.
+   */
+  private static final double COPY_OTHER_FAILURE_DOMAIN = 0.5;
+
   /** Cost of a server that fails all its requests, in parts of a full server. */
   private static final double FAILURES = 3;
 
@@ -135,29 +142,45 @@
     Instant now = clock.instant();
     return servers.usable(need.service().name()).stream()
         .filter(server -> isAllowed(need, server))
-        .filter(server -> hasRoom(need, server))
+        .filter(server -> hasRoom(need, server, MEMORY_PART))
         .filter(server -> !health.isSuspended(server.id(), now))
         .filter(server -> isWithinRate(need.service(), server, now))
         .min(Comparator.comparingDouble(server -> cost(need, server)));
   }
 
   /**
-   * Chooses a server that keeps a copy of a run's memory.
+   * Chooses a server that takes over a run from another one.
    *
-   * @param need what the run needs; its own server is excluded
-   * @param primary server of the run
+   * @param need what the run needs
+   * @param source server of the run
    * @return server, or nothing if none has room
    */
-  public Optional<ServerInstance> chooseBackup(Need need, ServerInstance primary) {
+  public Optional<ServerInstance> chooseCopy(Need need, ServerInstance source) {
+    return copyHolders(need, source, MEMORY_PART);
+  }
+
+  /**
+   * Chooses a server that keeps a copy of a run against a crash of its server. Copies must not take
+   * memory that other runs need: with a backup of each run, engines preempted runs and short
+   * requests were late.
+   *
+   * @param need what the run needs
+   * @param source server of the run
+   * @return server, or nothing if none has much memory left
+   */
+  public Optional<ServerInstance> chooseBackup(Need need, ServerInstance source) {
+    return copyHolders(need, source, BACKUP_MEMORY_PART);
+  }
+
+  private Optional<ServerInstance> copyHolders(
+      Need need, ServerInstance source, double memoryPart) {
     Instant now = clock.instant();
-    List<ServerInstance> candidates =
-        servers.usable(need.service().name()).stream()
-            .filter(server -> !server.id().equals(primary.id()))
-            .filter(server -> isAllowed(need, server))
-            .filter(server -> hasRoom(need, server))
-            .filter(server -> !health.isSuspended(server.id(), now))
-            .toList();
-    return candidates.stream().min(Comparator.comparingDouble(server -> cost(need, server)));
+    return servers.usable(need.service().name()).stream()
+        .filter(server -> !server.id().equals(source.id()))
+        .filter(server -> isAllowed(need, server))
+        .filter(server -> hasRoom(need, server, memoryPart))
+        .filter(server -> !health.isSuspended(server.id(), now))
+        .min(Comparator.comparingDouble(server -> copyCost(need, server, source)));
   }
 
   /**
@@ -183,15 +206,15 @@
                 .isPresent());
   }
 
-  private boolean hasRoom(Need need, ServerInstance server) {
+  private boolean hasRoom(Need need, ServerInstance server, double memoryPart) {
     LoadBoard.ServerLoad load = loads.total(server.id());
     if (load.runs() >= slots(need, server)) {
       return false;
     }
     OptionalInt memory = memory(need.service());
     return memory.isEmpty()
-        || load.runs() == 0
-        || load.tokens() + need.tokens() <= MEMORY_PART * memory.getAsInt();
+        || (load.runs() == 0 && memoryPart == MEMORY_PART)
+        || load.tokens() + need.tokens() <= memoryPart * memory.getAsInt();
   }
 
   private static int slots(Need need, ServerInstance server) {
@@ -217,6 +240,10 @@
   }
 
   private double cost(Need need, ServerInstance server) {
+    return load(need, server) + distance(server);
+  }
+
+  private double load(Need need, ServerInstance server) {
     LoadBoard.ServerLoad load = loads.total(server.id());
     double runs = (load.runs() + 1.0) / Math.min(slots(need, server), 1 << 16);
     OptionalInt memory = memory(need.service());
@@ -226,6 +253,12 @@
     return runs + tokens + warmUp + distance(server) + FAILURES * health.failureShare(server.id());
   }
 
+  private double copyCost(Need need, ServerInstance server, ServerInstance source) {
+    double distance =
+        server.failureDomain().equals(source.failureDomain()) ? 0 : COPY_OTHER_FAILURE_DOMAIN;
+    return load(need, server) + distance;
+  }
+
   private double distance(ServerInstance server) {
     if (server.failureDomain().equals(location.failureDomain())) {
       return 0;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.cactusseam.edge.backend.BackendConnections;
+import org.cactusseam.logic.gateway.Departures;
 import org.cactusseam.logic.gateway.LoadBoard;
 import org.cactusseam.logic.gateway.Placement;
 import org.cactusseam.logic.gateway.RetryBudget;
@@ -30,6 +31,7 @@
   private final ServerTable servers = new ServerTable();
   private final LoadBoard loads = new LoadBoard();
   private final ServerHealth health = new ServerHealth();
+  private final Departures departures = new Departures();
   private final Placement placement;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
@@ -98,6 +100,10 @@
     return loads;
   }
 
+  Departures departures() {
+    return departures;
+  }
+
   ServerHealth health() {
     return health;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -121,27 +121,52 @@
 
   @Override
   public void server(ServerInstance instance) {
-    boolean leavingBefore =
-        gateway.servers().find(instance.id()).filter(ServerInstance::leaving).isPresent();
     if (gateway.servers().put(instance, gateway.clock().instant())) {
       gateway.health().forget(instance.id());
+      gateway.departures().cancelled(instance.id());
       LOG.info(
           "server_listed",
           field("server", instance.id()),
           field("service", instance.service()),
           field("domain", instance.failureDomain()));
     }
-    if (instance.leaving() && !leavingBefore) {
-      LOG.info("server_leaving", field("server", instance.id()));
+    if (instance.leaving()) {
+      noticeDeparture(instance, "announced");
+    } else {
+      gateway.departures().cancelled(instance.id());
     }
   }
 
   @Override
   public void serverGone(String id) {
-    LOG.info("server_gone", field("server", id));
+    // Some servers do not announce that they leave: their entry goes, and they serve on for a time.
+    gateway.servers().find(id).ifPresent(instance -> noticeDeparture(instance, "entry_gone"));
     gateway.servers().remove(id, gateway.clock().instant());
   }
 
+  private void noticeDeparture(ServerInstance instance, String how) {
+    if (!gateway.departures().noticed(instance.id(), gateway.clock().instant())) {
+      return;
+    }
+    LOG.info("server_leaving", field("server", instance.id()), field("how", how));
+    boolean runsHere = gateway.active().stream().anyMatch(each -> each.isMovableFrom(instance));
+    if (runsHere) {
+      gateway
+          .engines()
+          .report(instance)
+          .onSuccess(report -> report.leavesIn().ifPresent(left -> endsIn(instance, left)))
+          .onFailure(
+              cause ->
+                  LOG.info(
+                      "report_missing", field("server", instance.id()), field("cause", cause)));
+    }
+  }
+
+  private void endsIn(ServerInstance instance, Duration left) {
+    LOG.info("server_ends", field("server", instance.id()), field("in_ms", left.toMillis()));
+    gateway.departures().endsAt(instance.id(), gateway.clock().instant().plus(left));
+  }
+
   @Override
   public void storeReturned() {
     LOG.info("store_returned");
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -2,6 +2,7 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
@@ -63,21 +64,20 @@
     all.addAll(need.excluded());
     return gateway
         .placement()
-        .chooseBackup(
-            new Placement.Need(need.service(), need.regions(), need.tokens(), all), source);
+        .chooseCopy(new Placement.Need(need.service(), need.regions(), need.tokens(), all), source);
   }
 
   /** Returns whether a move is now in progress. */
   boolean tick(Instant now) {
-    switch (plan.next(source, backup, this, now)) {
+    switch (plan.next(gateway.departures().stopAt(source.id()), this, now)) {
       case CopyPlan.Step.Nothing none -> {
         return false;
       }
-      case CopyPlan.Step.Copy copy -> {
+      case CopyPlan.Step.CopyTo copy -> {
         copy(copy.target());
         return false;
       }
-      case CopyPlan.Step.Move move -> {
+      case CopyPlan.Step.MoveTo move -> {
         move(move.target());
         return true;
       }
@@ -86,14 +86,19 @@
 
   private void copy(ServerInstance target) {
     count(target);
+    Instant startedAt = gateway.clock().instant();
     gateway
         .engines()
         .move(source, attemptId, target, false)
         .onSuccess(
             result -> {
               if (result instanceof EngineCalls.MoveResult.Copied copied) {
-                log.info("copied", field("server", source.id()), field("to", target.id()));
-                plan.copied(target, copied.handle(), gateway.clock().instant());
+                log.info(
+                    "copied",
+                    field("server", source.id()),
+                    field("to", target.id()),
+                    field("took_ms", millisSince(startedAt)));
+                plan.copied(target, copied.handle());
               } else {
                 failed("copy_failed", target, result.toString());
               }
@@ -101,15 +106,24 @@
         .onFailure(cause -> failed("copy_failed", target, String.valueOf(cause.getMessage())));
   }
 
+  private long millisSince(Instant start) {
+    return Duration.between(start, gateway.clock().instant()).toMillis();
+  }
+
   private void move(ServerInstance target) {
+    Instant startedAt = gateway.clock().instant();
     gateway
         .engines()
         .move(source, attemptId, target, true)
         .onSuccess(
             result -> {
               if (result instanceof EngineCalls.MoveResult.Copied copied) {
-                log.info("moved", field("server", source.id()), field("to", target.id()));
-                plan.copied(target, copied.handle(), gateway.clock().instant());
+                log.info(
+                    "moved",
+                    field("server", source.id()),
+                    field("to", target.id()),
+                    field("took_ms", millisSince(startedAt)));
+                plan.copied(target, copied.handle());
                 listener.moved();
               } else {
                 failed("move_failed", target, result.toString());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -30,6 +30,7 @@
   private boolean headWritten;
   private OptionalLong lastEvent = OptionalLong.empty();
   private final RunCopies copies = new RunCopies();
+  private final EventTimes times = new EventTimes();
   private int continuations;
 
   StreamExchange(
@@ -65,7 +66,7 @@
     current.start();
   }
 
-  /** A run that may not be repeated is copied to another engine while it grows. */
+  /** A run that may not be repeated is backed up against crashes where memory is plentiful. */
   private Optional<ServerInstance> backupFor(ServerInstance server) {
     boolean copies = service.engine().filter(engine -> engine.copiesRuns()).isPresent();
     return copies && !route.repetition().isRepeatable()
@@ -101,6 +102,7 @@
     if (event.id().isPresent()) {
       lastEvent = event.id();
     }
+    times.delivered(gateway.clock().instant());
     response.write(event.bytes());
     if (response.writeQueueFull()) {
       run.pause();
@@ -113,12 +115,23 @@
       return;
     }
     head(run);
-    logEnd("answered", STATUS_OK, "stream with " + continuations + " continuations");
+    logStream("answered", "whole");
     finish();
     response.end();
     closeIfDraining();
   }
 
+  private void logStream(String outcome, String reason) {
+    log.info(
+        "stream",
+        field("events", times.events()),
+        field("first_event_ms", times.firstAfter(receivedAt)),
+        field("longest_gap_ms", times.longestGapMillis()),
+        field("gap_before_event", times.eventAfterLongestGap()),
+        field("continuations", continuations));
+    logEnd(outcome, STATUS_OK, reason);
+  }
+
   /** The server answered with a failure of its own, which is passed on. */
   void serverFailed(StreamRun run, int status, Buffer content) {
     if (isFinished() || run != current) {
@@ -212,7 +225,7 @@
 
   /** Closes the connection, so that the answer does not look complete. */
   private void breakOff(String reason) {
-    logEnd("broken_off", STATUS_OK, reason);
+    logStream("broken_off", reason);
     finish();
     incoming.connection().close();
   }
@@ -242,6 +255,11 @@
     cancel();
   }
 
+  @Override
+  boolean isMovableFrom(ServerInstance server) {
+    return current != null && current.isCopied() && current.server().id().equals(server.id());
+  }
+
   @Override
   void tick(Instant now) {
     if (current != null) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -193,7 +193,7 @@
     }
   }
 
-  private boolean isCopied() {
+  boolean isCopied() {
     return !exchange.route.repetition().isRepeatable()
         && exchange.service.engine().filter(EngineTraits::movesRuns).isPresent();
   }
