Continue runs from copies when their engine ends instead of stopping them before

Runs now go on until their engine ends, copies are brought up to date every 0.5 s, and the stream continues from the copy. The report that told the end of an engine is not needed any more.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
@@ -8,22 +8,29 @@
 import org.cactusseam.model.gateway.ServerInstance;
 
 /**
- * Decides when one run moves from an engine that leaves to another one. Answers the load pattern in
- * which engines leave every few seconds with several long runs on each.
+ * Decides when the memory of one run is copied from an engine that leaves to another one, where the
+ * run continues when its stream breaks off. Answers the load pattern in which engines leave every
+ * few seconds with several long runs on each.
  *
- * <p>The memory is copied first while the run goes on. The run stops only shortly before the engine
- * ends: one link carries the copies of all runs of the engine one after the other, and a run that
- * stopped at once would wait behind the whole copies of the others. At most one call for a run is
- * in progress.
+ * <p>The run goes on while it is copied, until the engine ends. Stopping it for the last part of
+ * the copy would cost more: one link carries the copies of all runs of the engine one after the
+ * other, and the last part of one run waits behind the whole copies of the others. At most one call
+ * for a run is in progress.
  */
 public final class CopyPlan {
 
+  /**
+   * Age at which a copy is brought up to date. What the copy lacks is read again: some 60 tokens
+   * after this time. Engines keep a copy for 5 s after its last part (configuration).
+   */
+  static final Duration REFRESH = Duration.ofMillis(500);
+
   /** Pause after a rejected copy: room at other engines appears when one of their runs ends. */
   static final Duration RETRY = Duration.ofMillis(100);
 
   private Optional<Copy> copy = Optional.empty();
   private final Set<String> rejectedBy = new HashSet<>();
-  private Instant nextAttempt = Instant.MIN;
+  private Instant nextCall = Instant.MIN;
   private boolean inProgress;
 
   /**
@@ -34,27 +41,6 @@
    */
   public record Copy(ServerInstance holder, String handle) {}
 
-  /** What is to be done for the run. */
-  public sealed interface Step {
-
-    /** Nothing for now. */
-    record Nothing() implements Step {}
-
-    /**
-     * Copy the memory while the run goes on.
-     *
-     * @param target engine that receives the copy
-     */
-    record CopyTo(ServerInstance target) implements Step {}
-
-    /**
-     * Stop the run, copy the rest, and continue at the target.
-     *
-     * @param target engine that continues the run
-     */
-    record MoveTo(ServerInstance target) implements Step {}
-  }
-
   /** What the plan asks of the other engines. */
   public interface Engines {
 
@@ -76,34 +62,26 @@
   }
 
   /**
-   * Decides the next step.
+   * Decides whether to copy the run now.
    *
-   * @param stopAt time at which runs stop at the engine, absent if it does not leave
+   * @param leaving whether the engine of the run leaves
    * @param engines the other engines
    * @param now time
-   * @return step; a copy or a move counts as in progress until its result is told
+   * @return engine that is to receive the copy; the call counts as in progress until its result is
+   *     told
    */
-  public Step next(Optional<Instant> stopAt, Engines engines, Instant now) {
+  public Optional<ServerInstance> next(boolean leaving, Engines engines, Instant now) {
     copy = copy.filter(held -> engines.isUsable(held.holder()));
-    if (inProgress || stopAt.isEmpty() || now.isBefore(nextAttempt)) {
-      return new Step.Nothing();
+    if (inProgress || !leaving || now.isBefore(nextCall)) {
+      return Optional.empty();
     }
-    Step step = copy.isPresent() ? moveInTime(stopAt.get(), now) : copyToAny(engines);
-    inProgress = !(step instanceof Step.Nothing);
-    return step;
-  }
-
-  private Step moveInTime(Instant stopAt, Instant now) {
-    return now.isBefore(stopAt) ? new Step.Nothing() : new Step.MoveTo(copy.orElseThrow().holder());
-  }
-
-  private Step copyToAny(Engines engines) {
-    Optional<ServerInstance> target = engines.choose(Set.copyOf(rejectedBy));
+    Optional<ServerInstance> target =
+        copy.map(Copy::holder).or(() -> engines.choose(Set.copyOf(rejectedBy)));
     if (target.isEmpty()) {
       rejectedBy.clear();
-      return new Step.Nothing();
     }
-    return new Step.CopyTo(target.get());
+    inProgress = target.isPresent();
+    return target;
   }
 
   /**
@@ -111,23 +89,35 @@
    *
    * @param holder engine that holds it
    * @param handle its identity
+   * @param now time
    */
-  public void copied(ServerInstance holder, String handle) {
+  public void copied(ServerInstance holder, String handle, Instant now) {
     inProgress = false;
     copy = Optional.of(new Copy(holder, handle));
+    nextCall = now.plus(REFRESH);
   }
 
   /**
-   * A copy or a move did not succeed.
+   * An engine has rejected a copy; it holds none.
    *
    * @param target engine that was to receive it
    * @param now time
    */
-  public void failed(ServerInstance target, Instant now) {
+  public void rejected(ServerInstance target, Instant now) {
     inProgress = false;
     copy = Optional.empty();
     rejectedBy.add(target.id());
-    nextAttempt = now.plus(RETRY);
+    nextCall = now.plus(RETRY);
+  }
+
+  /**
+   * A call has no answer. An earlier copy is still held.
+   *
+   * @param now time
+   */
+  public void unanswered(Instant now) {
+    inProgress = false;
+    nextCall = now.plus(RETRY);
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -37,7 +37,7 @@
   /**
    * Cost of a copy in another failure domain, in parts of a full server: it takes twice as long.
    */
-  private static final double COPY_OTHER_FAILURE_DOMAIN = 0.5;
+  private static final double COPY_OTHER_FAILURE_DOMAIN = 0.25;
 
   /** Cost of a server that fails all its requests, in parts of a full server. */
   private static final double FAILURES = 3;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/EngineCalls.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/EngineCalls.java
@@ -7,42 +7,34 @@
 /** Calls to model engines that are not requests of callers; implemented by an adapter. */
 public interface EngineCalls {
 
-  /** How an engine answered a call that copies or moves a run. */
-  sealed interface MoveResult {
+  /** How an engine answered a call that copies a run. */
+  sealed interface CopyResult {
 
     /**
      * The copy is complete.
      *
      * @param handle identity of the copy, together with the address of the source
      */
-    record Copied(String handle) implements MoveResult {}
+    record Copied(String handle) implements CopyResult {}
 
     /**
-     * The run has stopped, its memory is still at the source.
-     *
-     * @param handle identity of the memory at the source
-     */
-    record StoppedAtSource(String handle) implements MoveResult {}
-
-    /**
-     * Nothing was copied and the run goes on.
+     * Nothing was copied.
      *
      * @param reason what the engine answered
      */
-    record Rejected(String reason) implements MoveResult {}
+    record Rejected(String reason) implements CopyResult {}
   }
 
   /**
-   * Copies the memory of a running request to another engine.
+   * Copies the memory of a running request to another engine while the run goes on. A repeated call
+   * copies only what is new.
    *
    * @param source engine that runs it
    * @param attemptId attempt that was sent to the source
    * @param target engine that receives the copy
-   * @param stop whether the run stops at the source before the rest is copied
    * @return result; fails if the answer is lost
    */
-  Future<MoveResult> move(
-      ServerInstance source, String attemptId, ServerInstance target, boolean stop);
+  Future<CopyResult> copy(ServerInstance source, String attemptId, ServerInstance target);
 
   /**
    * Asks an engine for its report.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -196,11 +196,6 @@
   /** The time of the route or of the caller is over. */
   abstract void timedOut();
 
-  /** Returns whether a run of this request could move away from a server. */
-  boolean isMovableFrom(ServerInstance server) {
-    return false;
-  }
-
   /** Called several times a second while the request runs. */
   void tick(Instant now) {}
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -145,26 +145,9 @@
   }
 
   private void noticeDeparture(ServerInstance instance, String how) {
-    if (!gateway.departures().noticed(instance.id(), gateway.clock().instant())) {
-      return;
+    if (gateway.departures().noticed(instance.id(), gateway.clock().instant())) {
+      LOG.info("server_leaving", field("server", instance.id()), field("how", how));
     }
-    LOG.info("server_leaving", field("server", instance.id()), field("how", how));
-    boolean runsHere = gateway.active().stream().anyMatch(each -> each.isMovableFrom(instance));
-    if (runsHere) {
-      gateway
-          .engines()
-          .report(instance)
-          .onSuccess(report -> report.leavesIn().ifPresent(left -> endsIn(instance, left)))
-          .onFailure(
-              cause ->
-                  LOG.info(
-                      "report_missing", field("server", instance.id()), field("cause", cause)));
-    }
-  }
-
-  private void endsIn(ServerInstance instance, Duration left) {
-    LOG.info("server_ends", field("server", instance.id()), field("in_ms", left.toMillis()));
-    gateway.departures().endsAt(instance.id(), gateway.clock().instant().plus(left));
   }
 
   @Override
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -4,7 +4,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.cactusseam.edge.logging.StructuredLog;
@@ -14,7 +16,7 @@
 import org.cactusseam.model.gateway.Continuation;
 import org.cactusseam.model.gateway.ServerInstance;
 
-/** Carries out the {@link CopyPlan} of one run. */
+/** Carries out the {@link CopyPlan} of one run and counts its copies as load of their holders. */
 final class RunCopier implements CopyPlan.Engines {
 
   private final Gateway gateway;
@@ -23,33 +25,17 @@
   private final Placement.Need need;
   private final ServerInstance source;
   private final Optional<ServerInstance> backup;
-  private final MoveListener listener;
   private final CopyPlan plan = new CopyPlan();
   private Optional<ServerInstance> counted = Optional.empty();
   private boolean closed;
 
-  /** Is told how a move ends. */
-  interface MoveListener {
-
-    /** The run has stopped and continues from its copies. */
-    void moved();
-
-    /** The run was not moved; it goes on unless its stream has ended meanwhile. */
-    void notMoved();
-  }
-
-  RunCopier(
-      StreamExchange exchange,
-      ServerInstance source,
-      Optional<ServerInstance> backup,
-      MoveListener listener) {
+  RunCopier(StreamExchange exchange, ServerInstance source, Optional<ServerInstance> backup) {
     this.gateway = exchange.gateway;
     this.log = exchange.log;
     this.attemptId = exchange.head.attemptId();
     this.need = exchange.need();
     this.source = source;
     this.backup = backup;
-    this.listener = listener;
     backup.ifPresent(holder -> gateway.loads().started(holder.id(), need.tokens()));
   }
 
@@ -67,90 +53,49 @@
         .chooseCopy(new Placement.Need(need.service(), need.regions(), need.tokens(), all), source);
   }
 
-  /** Returns whether a move is now in progress. */
-  boolean tick(Instant now) {
-    switch (plan.next(gateway.departures().stopAt(source.id()), this, now)) {
-      case CopyPlan.Step.Nothing none -> {
-        return false;
-      }
-      case CopyPlan.Step.CopyTo copy -> {
-        copy(copy.target());
-        return false;
-      }
-      case CopyPlan.Step.MoveTo move -> {
-        move(move.target());
-        return true;
-      }
-    }
+  void tick(Instant now) {
+    boolean leaving = gateway.departures().isLeaving(source.id());
+    plan.next(leaving, this, now).ifPresent(this::copy);
   }
 
   private void copy(ServerInstance target) {
-    count(target);
+    count(Optional.of(target));
     Instant startedAt = gateway.clock().instant();
     gateway
         .engines()
-        .move(source, attemptId, target, false)
-        .onSuccess(
-            result -> {
-              if (result instanceof EngineCalls.MoveResult.Copied copied) {
-                log.info(
-                    "copied",
-                    field("server", source.id()),
-                    field("to", target.id()),
-                    field("took_ms", millisSince(startedAt)));
-                plan.copied(target, copied.handle());
-              } else {
-                failed("copy_failed", target, result.toString());
-              }
-            })
-        .onFailure(cause -> failed("copy_failed", target, String.valueOf(cause.getMessage())));
-  }
-
-  private long millisSince(Instant start) {
-    return Duration.between(start, gateway.clock().instant()).toMillis();
-  }
-
-  private void move(ServerInstance target) {
-    Instant startedAt = gateway.clock().instant();
-    gateway
-        .engines()
-        .move(source, attemptId, target, true)
-        .onSuccess(
-            result -> {
-              if (result instanceof EngineCalls.MoveResult.Copied copied) {
-                log.info(
-                    "moved",
-                    field("server", source.id()),
-                    field("to", target.id()),
-                    field("took_ms", millisSince(startedAt)));
-                plan.copied(target, copied.handle());
-                listener.moved();
-              } else {
-                failed("move_failed", target, result.toString());
-                listener.notMoved();
-              }
-            })
+        .copy(source, attemptId, target)
+        .onSuccess(result -> answered(result, target, startedAt))
         .onFailure(
             cause -> {
-              failed("move_failed", target, String.valueOf(cause.getMessage()));
-              listener.notMoved();
+              log("copy_unanswered", target, startedAt, String.valueOf(cause.getMessage()));
+              plan.unanswered(gateway.clock().instant());
             });
   }
 
-  private void failed(String event, ServerInstance target, String reason) {
-    log.info(
-        event, field("server", source.id()), field("to", target.id()), field("reason", reason));
-    count(Optional.empty());
-    plan.failed(target, gateway.clock().instant());
+  private void answered(EngineCalls.CopyResult result, ServerInstance target, Instant startedAt) {
+    switch (result) {
+      case EngineCalls.CopyResult.Copied copied -> {
+        log("copied", target, startedAt, copied.handle());
+        plan.copied(target, copied.handle(), gateway.clock().instant());
+      }
+      case EngineCalls.CopyResult.Rejected rejected -> {
+        log("copy_rejected", target, startedAt, rejected.reason());
+        count(Optional.empty());
+        plan.rejected(target, gateway.clock().instant());
+      }
+    }
   }
 
-  private void count(ServerInstance holder) {
-    if (counted.filter(holder::equals).isEmpty()) {
-      count(Optional.of(holder));
-    }
+  private void log(String event, ServerInstance target, Instant startedAt, String result) {
+    log.info(
+        event,
+        field("server", source.id()),
+        field("to", target.id()),
+        field("to_tokens", gateway.loads().total(target.id()).tokens()),
+        field("result", result),
+        field("took_ms", Duration.between(startedAt, gateway.clock().instant()).toMillis()));
   }
 
-  /** Counts the memory of the copy as load of its holder. */
   private void count(Optional<ServerInstance> holder) {
     counted.ifPresent(before -> gateway.loads().ended(before.id(), need.tokens()));
     counted = closed ? Optional.empty() : holder;
@@ -158,8 +103,8 @@
   }
 
   /** Returns the copies of the run, the newest last. */
-  Set<Copy> copies() {
-    Set<Copy> copies = new java.util.LinkedHashSet<>();
+  List<Copy> copies() {
+    List<Copy> copies = new ArrayList<>();
     backup.ifPresent(
         holder -> copies.add(new Copy(holder, new Continuation(holder.address(), attemptId))));
     plan.copy()
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -255,11 +255,6 @@
     cancel();
   }
 
-  @Override
-  boolean isMovableFrom(ServerInstance server) {
-    return current != null && current.isCopied() && current.server().id().equals(server.id());
-  }
-
   @Override
   void tick(Instant now) {
     if (current != null) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -17,7 +17,7 @@
  * engine that leaves announces it shorter before its end than a stream lasts; a run without a
  * usable copy is moved then.
  */
-final class StreamRun implements RunCopier.MoveListener {
+final class StreamRun {
 
   /**
    * Silence after which the server is asked whether it lives. Ten times the longest pause of a
@@ -34,8 +34,6 @@
   private final RunCopier copier;
   private @Nullable HttpClientRequest outgoing;
   private @Nullable HttpClientResponse response;
-  private boolean moving;
-  private Optional<String> endedWhileMoving = Optional.empty();
   private boolean asking;
   private boolean over;
   private Instant heardAt;
@@ -50,7 +48,7 @@
     this.server = server;
     this.backup = backup;
     this.continuation = continuation;
-    this.copier = new RunCopier(exchange, server, backup, this);
+    this.copier = new RunCopier(exchange, server, backup);
     this.splitter = new EventSplitter(event -> exchange.event(this, event));
     this.heardAt = gateway.clock().instant();
   }
@@ -171,11 +169,6 @@
       return;
     }
     abort();
-    if (moving) {
-      // A run that is stopped for a move closes its stream before the engine answers the move.
-      endedWhileMoving = Optional.of(reason);
-      return;
-    }
     gateway.health().unreachable(server.id(), gateway.clock().instant());
     exchange.copies().add(copier.copies());
     exchange.broken(this, reason);
@@ -185,10 +178,10 @@
     if (over || response == null) {
       return;
     }
-    if (isCopied() && copier.tick(now)) {
-      moving = true;
+    if (isCopied()) {
+      copier.tick(now);
     }
-    if (!asking && !moving && heardAt.plus(SILENCE).isBefore(now)) {
+    if (!asking && heardAt.plus(SILENCE).isBefore(now)) {
       askWhetherAlive();
     }
   }
@@ -198,27 +191,6 @@
         && exchange.service.engine().filter(EngineTraits::movesRuns).isPresent();
   }
 
-  @Override
-  public void moved() {
-    moving = false;
-    if (exchange.isFinished()) {
-      return;
-    }
-    abort();
-    exchange.copies().add(copier.copies());
-    exchange.broken(this, "moved");
-  }
-
-  @Override
-  public void notMoved() {
-    moving = false;
-    endedWhileMoving.ifPresent(
-        reason -> {
-          exchange.copies().add(copier.copies());
-          exchange.broken(this, reason);
-        });
-  }
-
   private void askWhetherAlive() {
     asking = true;
     gateway
