--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -39,6 +39,15 @@
    */
   private static final double COPY_OTHER_FAILURE_DOMAIN = 0.25;
 
+  /**
+   * Range of the random part of a copy's cost. All VMs copy the runs of a leaving engine at the
+   * same moment, before they know of each other's choices.
+   */
+  private static final double COPY_SPREAD = 0.4;
+
+  /** Odd number with well-mixed bits (Knuth's multiplicative hash). */
+  private static final int HASH_FACTOR = 0x9E3779B1;
+
   /** Cost of a server that fails all its requests, in parts of a full server. */
   private static final double FAILURES = 3;
 
@@ -52,6 +61,7 @@
   private final ServerTable servers;
   private final LoadBoard loads;
   private final ServerHealth health;
+  private final Departures departures;
   private final Map<String, RateShare> rates = new HashMap<>();
   private int vms = 1;
 
@@ -84,9 +94,10 @@
    * @param regions regions that are allowed; empty if all are
    * @param tokens memory that the run is expected to need; 0 for plain requests
    * @param excluded servers that must not be chosen
+   * @param spread number that differs between requests and spreads their choices
    */
   public record Need(
-      GatewayService service, Set<String> regions, int tokens, Set<String> excluded) {
+      GatewayService service, Set<String> regions, int tokens, Set<String> excluded, int spread) {
 
     /** Copies the collections. */
     public Need {
@@ -103,6 +114,7 @@
    * @param servers servers
    * @param loads load of the servers
    * @param health health of the servers
+   * @param departures servers that leave
    */
   public Placement(
       Clock clock, Location location, ServerTable servers, LoadBoard loads, ServerHealth health) {
@@ -111,6 +123,7 @@
     this.servers = servers;
     this.loads = loads;
     this.health = health;
+    this.departures = departures;
   }
 
   /**
@@ -199,6 +212,7 @@
 
   private boolean isAllowed(Need need, ServerInstance server) {
     return !need.excluded().contains(server.id())
+        && !departures.isLeaving(server.id())
         && (need.regions().isEmpty()
             || location
                 .regionOf(server.failureDomain())
@@ -256,7 +270,13 @@
   private double copyCost(Need need, ServerInstance server, ServerInstance source) {
     double distance =
         server.failureDomain().equals(source.failureDomain()) ? 0 : COPY_OTHER_FAILURE_DOMAIN;
-    return load(need, server) + distance;
+    return load(need, server) + distance + COPY_SPREAD * spread(need, server);
+  }
+
+  /** Returns a number between 0 and 1 that differs between requests and servers. */
+  private static double spread(Need need, ServerInstance server) {
+    int mixed = Integer.reverse((need.spread() ^ server.id().hashCode()) * HASH_FACTOR);
+    return (mixed >>> 1) / (double) Integer.MAX_VALUE;
   }
 
   private double distance(ServerInstance server) {
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GenerationDemand.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GenerationDemand.java
@@ -12,13 +12,22 @@
 public record GenerationDemand(
     int promptTokens, int maximumOutputTokens, OptionalInt expectedOutputTokens) {
 
+  /**
+   * Mean output for one token of the estimate. The estimate is right at the median, and lengths are
+   * skewed: the mean of the sheets' distribution is 1.4 times its median, cut at the maximum.
+   */
+  private static final double MEAN_FOR_MEDIAN = 1.3;
+
   /**
    * Returns the memory that the run is expected to need at its end.
    *
    * @return tokens
    */
   public int expectedTokens() {
-    int output = expectedOutputTokens.orElse(maximumOutputTokens);
-    return promptTokens + Math.min(output, maximumOutputTokens);
+    int mean =
+        expectedOutputTokens.isPresent()
+            ? (int) (expectedOutputTokens.getAsInt() * MEAN_FOR_MEDIAN)
+            : maximumOutputTokens;
+    return promptTokens + Math.min(mean, maximumOutputTokens);
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -150,7 +150,7 @@
   }
 
   final Placement.Need need() {
-    return new Placement.Need(service, regions(), tokens(), excluded);
+    return new Placement.Need(service, regions(), tokens(), excluded, head.attemptId().hashCode());
   }
 
   private Set<String> regions() {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -24,13 +24,18 @@
    */
   private static final Duration BALANCER_DELAY = Duration.ofMillis(3_200);
 
+  /** An engine leaves 1.5 s after its notice at the earliest; reports are up to 0.5 s old. */
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
+
   /** Time before the platform's kill at which the process ends by itself. */
   private static final Duration END_MARGIN = Duration.ofMillis(300);
 
   private final Gateway gateway;
   private final GatewayServer server;
+  private final RecordRelay relay;
   private final GatewayPeers peers;
   private final Runnable exit;
+  private Instant reportsAskedAt = Instant.MIN;
   private Instant drainingSince = Instant.MAX;
   private boolean closing;
 
@@ -44,6 +49,7 @@
   public GatewayProcess(Gateway gateway, RecordRelay relay, Runnable exit) {
     this.gateway = gateway;
     this.server = new GatewayServer(gateway);
+    this.relay = relay;
     this.peers = new GatewayPeers(gateway, relay);
     this.exit = exit;
   }
@@ -64,6 +70,10 @@
     gateway.loads().tick(now);
     gateway.placement().tick();
     peers.tick(now);
+    if (relay.isStoreAway() && reportsAskedAt.plus(REPORT_INTERVAL).isBefore(now)) {
+      reportsAskedAt = now;
+      askForReports();
+    }
     gateway.active().forEach(exchange -> exchange.tick(now));
     gateway.offerPlaces();
     if (gateway.isDraining() && !closing) {
@@ -71,6 +81,40 @@
     }
   }
 
+  /** While the store is away, only the engines themselves tell that they leave. */
+  private void askForReports() {
+    for (String id : gateway.loads().own().keySet()) {
+      gateway
+          .servers()
+          .find(id)
+          .filter(server -> isEngine(server) && !gateway.departures().isLeaving(id))
+          .ifPresent(this::askForReport);
+    }
+  }
+
+  private boolean isEngine(ServerInstance server) {
+    return gateway
+        .routes()
+        .service(server.service())
+        .flatMap(service -> service.engine())
+        .isPresent();
+  }
+
+  private void askForReport(ServerInstance server) {
+    gateway
+        .engines()
+        .report(server)
+        .onSuccess(
+            report -> {
+              if (report.leaving() || report.leavesIn().isPresent()) {
+                noticeDeparture(server, "reported");
+              }
+            })
+        .onFailure(
+            cause ->
+                LOG.info("report_missing", field("server", server.id()), field("cause", cause)));
+  }
+
   private void endIfDrained(Instant now) {
     Duration elapsed = Duration.between(drainingSince, now);
     boolean idle = gateway.active().isEmpty() && elapsed.compareTo(BALANCER_DELAY) >= 0;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -50,7 +50,9 @@
     all.addAll(need.excluded());
     return gateway
         .placement()
-        .chooseCopy(new Placement.Need(need.service(), need.regions(), need.tokens(), all), source);
+        .chooseCopy(
+            new Placement.Need(need.service(), need.regions(), need.tokens(), all, need.spread()),
+            source);
   }
 
   void tick(Instant now) {
