--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -117,7 +117,12 @@
    * @param departures servers that leave
    */
   public Placement(
-      Clock clock, Location location, ServerTable servers, LoadBoard loads, ServerHealth health) {
+      Clock clock,
+      Location location,
+      ServerTable servers,
+      LoadBoard loads,
+      ServerHealth health,
+      Departures departures) {
     this.clock = clock;
     this.location = location;
     this.servers = servers;
