--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -135,9 +135,18 @@
     }
   }
 
-  private void passOn(StoreRecord record) {
-    if (!subscribers.isEmpty()) {
-      Buffer frame = GatewayMessageCodec.encode(new GatewayMessage.Relayed(record));
+  /**
+   * Passes a record on: an urgent one to all, so that a change is known after the shortest of all
+   * pauses between reads, any other to those that cannot read the store.
+   */
+  private void passOn(StoreRecord record, boolean urgent) {
+    if (!urgent && subscribers.isEmpty()) {
+      return;
+    }
+    Buffer frame = GatewayMessageCodec.encode(new GatewayMessage.Relayed(record));
+    if (urgent) {
+      links.values().forEach(link -> link.send(frame));
+    } else {
       subscribers.keySet().forEach(node -> send(node, frame));
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordRelay.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordRelay.java
@@ -1,7 +1,6 @@
 package org.cactusseam.edge.gateway;
 
 import java.util.List;
-import java.util.function.Consumer;
 import org.cactusseam.model.gateway.StoreRecord;
 
 /**
@@ -36,5 +35,18 @@
    *
    * @param receiver receiver
    */
-  void onRead(Consumer<StoreRecord> receiver);
+  void onRead(Receiver receiver);
+
+  /** Receives the records that a gateway reads itself. */
+  interface Receiver {
+
+    /**
+     * A record was read that was not known.
+     *
+     * @param record record
+     * @param urgent whether all gateways should know it before their own next read: a server
+     *     leaves, or an operator has changed something
+     */
+    void read(StoreRecord record, boolean urgent);
+  }
 }
