--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -41,8 +41,14 @@
    */
   static final int CONNECT_TIMEOUT_MILLIS = 400;
 
-  /** Part of the target latency for which a request waits for a place. */
-  private static final double WAITING_PART = 0.6;
+  /** Part of the target latency for which a request waits for a place at least. */
+  private static final double WAITING_PART_OF_TARGET = 0.6;
+
+  /**
+   * Part of the time limit for which a request waits for a place: a caller comes back once at most,
+   * so a request with a long time limit is served late rather than sent away.
+   */
+  private static final double WAITING_PART_OF_LIMIT = 0.25;
 
   /** Time after which a refused caller is asked to come back; places free up within about 1 s. */
   private static final Duration RETRY_AFTER = Duration.ofMillis(800);
@@ -114,7 +120,9 @@
   }
 
   private Duration waitingLimit() {
-    Duration limit = Duration.ofMillis((long) (route.targetLatency().toMillis() * WAITING_PART));
+    double ofTarget = route.targetLatency().toMillis() * WAITING_PART_OF_TARGET;
+    double ofLimit = timeLeft().toMillis() * WAITING_PART_OF_LIMIT;
+    Duration limit = Duration.ofMillis((long) Math.max(ofTarget, ofLimit));
     return limit.compareTo(timeLeft()) < 0 ? limit : timeLeft();
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -2,6 +2,7 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -25,17 +26,23 @@
   private final Placement.Need need;
   private final ServerInstance source;
   private final Optional<ServerInstance> backup;
+  private final Runnable sourceEnded;
   private final CopyPlan plan = new CopyPlan();
   private Optional<ServerInstance> counted = Optional.empty();
   private boolean closed;
 
-  RunCopier(StreamExchange exchange, ServerInstance source, Optional<ServerInstance> backup) {
+  RunCopier(
+      StreamExchange exchange,
+      ServerInstance source,
+      Optional<ServerInstance> backup,
+      Runnable sourceEnded) {
     this.gateway = exchange.gateway;
     this.log = exchange.log;
     this.attemptId = exchange.head.attemptId();
     this.need = exchange.need();
     this.source = source;
     this.backup = backup;
+    this.sourceEnded = sourceEnded;
     backup.ifPresent(holder -> gateway.loads().started(holder.id(), need.tokens()));
   }
 
@@ -71,6 +78,10 @@
             cause -> {
               log("copy_unanswered", target, startedAt, String.valueOf(cause.getMessage()));
               plan.unanswered(gateway.clock().instant());
+              if (cause instanceof ConnectException) {
+                // The process has ended, although its stream has not been closed on this side.
+                sourceEnded.run();
+              }
             });
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -48,7 +48,7 @@
     this.server = server;
     this.backup = backup;
     this.continuation = continuation;
-    this.copier = new RunCopier(exchange, server, backup);
+    this.copier = new RunCopier(exchange, server, backup, () -> broken("the server has ended"));
     this.splitter = new EventSplitter(event -> exchange.event(this, event));
     this.heardAt = gateway.clock().instant();
   }
