--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -2,6 +2,7 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
+import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
@@ -78,13 +79,18 @@
             cause -> {
               log("copy_unanswered", target, startedAt, String.valueOf(cause.getMessage()));
               plan.unanswered(gateway.clock().instant());
-              if (cause instanceof ConnectException) {
+              if (isRefused(cause)) {
                 // The process has ended, although its stream has not been closed on this side.
                 sourceEnded.run();
               }
             });
   }
 
+  /** A connection that is not established in time says nothing of the process behind it. */
+  private static boolean isRefused(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
   private void answered(EngineCalls.CopyResult result, ServerInstance target, Instant startedAt) {
     switch (result) {
       case EngineCalls.CopyResult.Copied copied -> {
