--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -25,9 +25,6 @@
    */
   private static final double MEMORY_PART = 0.9;
 
-  /** Part of an engine's memory up to which it takes backups. */
-  private static final double BACKUP_MEMORY_PART = 0.0;
-
   /** Cost of another region, in parts of a full server: its link is slow and billed by volume. */
   private static final double OTHER_REGION = 0.35;
 
@@ -167,7 +164,7 @@
     Instant now = clock.instant();
     return servers.usable(need.service().name()).stream()
         .filter(server -> isAllowed(need, server))
-        .filter(server -> hasRoom(need, server, MEMORY_PART))
+        .filter(server -> hasRoom(need, server))
         .filter(server -> !health.isSuspended(server.id(), now))
         .filter(server -> isWithinRate(need.service(), server, now))
         .min(Comparator.comparingDouble(server -> cost(need, server)));
@@ -181,29 +178,11 @@
    * @return server, or nothing if none has room
    */
   public Optional<ServerInstance> chooseCopy(Need need, ServerInstance source) {
-    return copyHolders(need, source, MEMORY_PART);
-  }
-
-  /**
-   * Chooses a server that keeps a copy of a run against a crash of its server. Copies must not take
-   * memory that other runs need: with a backup of each run, engines preempted runs and short
-   * requests were late.
-   *
-   * @param need what the run needs
-   * @param source server of the run
-   * @return server, or nothing if none has much memory left
-   */
-  public Optional<ServerInstance> chooseBackup(Need need, ServerInstance source) {
-    return copyHolders(need, source, BACKUP_MEMORY_PART);
-  }
-
-  private Optional<ServerInstance> copyHolders(
-      Need need, ServerInstance source, double memoryPart) {
     Instant now = clock.instant();
     return servers.usable(need.service().name()).stream()
         .filter(server -> !server.id().equals(source.id()))
         .filter(server -> isAllowed(need, server))
-        .filter(server -> hasRoom(need, server, memoryPart))
+        .filter(server -> hasRoom(need, server))
         .filter(server -> !health.isSuspended(server.id(), now))
         .min(Comparator.comparingDouble(server -> copyCost(need, server, source)));
   }
@@ -235,15 +214,15 @@
                 .isPresent());
   }
 
-  private boolean hasRoom(Need need, ServerInstance server, double memoryPart) {
+  private boolean hasRoom(Need need, ServerInstance server) {
     LoadBoard.ServerLoad load = loads.total(server.id());
     if (load.runs() >= slots(need, server)) {
       return false;
     }
     OptionalInt memory = memory(need.service());
     return memory.isEmpty()
-        || (load.runs() == 0 && memoryPart == MEMORY_PART)
-        || load.tokens() + need.tokens() <= memoryPart * memory.getAsInt();
+        || load.runs() == 0
+        || load.tokens() + need.tokens() <= MEMORY_PART * memory.getAsInt();
   }
 
   private static int slots(Need need, ServerInstance server) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RunCopies.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RunCopies.java
@@ -9,7 +9,7 @@
 
 /**
  * Copies of the memory of one run, the best one first. A copy is used once at most. A run that a
- * server has rejected adds none: the server that was to back it up has received nothing.
+ * server has rejected adds none.
  */
 public final class RunCopies {
 
@@ -24,12 +24,12 @@
   public record Copy(ServerInstance holder, Continuation continuation) {}
 
   /**
-   * Adds copies that are newer than all others.
+   * Adds a copy that is newer than all others.
    *
-   * @param newer copies, the newest last
+   * @param copy copy
    */
-  public void add(Iterable<Copy> newer) {
-    newer.forEach(copies::addFirst);
+  public void add(Copy copy) {
+    copies.addFirst(copy);
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineTraits.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineTraits.java
@@ -5,7 +5,6 @@
  *
  * @param slots requests that one engine runs at the same time
  * @param memoryTokens tokens that fit into the memory of one engine
- * @param copiesRuns whether an engine sends the memory of a run to another one while it grows
- * @param movesRuns whether a running request can be moved to another engine
+ * @param copiesRuns whether the memory of a running request can be copied to another engine
  */
-public record EngineTraits(int slots, int memoryTokens, boolean copiesRuns, boolean movesRuns) {}
+public record EngineTraits(int slots, int memoryTokens, boolean copiesRuns) {}
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerCall.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerCall.java
@@ -13,7 +13,6 @@
  * @param enginePriority priority at a model engine, 0 is the first
  * @param lastEventId event after which a stream continues
  * @param continuation memory from which the run continues
- * @param backupAddress server, IP:PORT, that receives a copy of the run's memory
  */
 public record ServerCall(
     ServerInstance server,
@@ -21,5 +20,4 @@
     Optional<String> account,
     OptionalInt enginePriority,
     Optional<String> lastEventId,
-    Optional<Continuation> continuation,
-    Optional<String> backupAddress) {}
+    Optional<Continuation> continuation) {}
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
@@ -1,7 +1,5 @@
 package org.cactusseam.model.gateway;
 
-import java.util.Optional;
-
 /**
  * The head of a backend server's answer, decoded.
  *
@@ -9,19 +7,8 @@
  * @param notRun whether the server states that it has not run the request and will not
  * @param signed whether the answer carries the receipt of a run
  * @param answersAttempt whether the answer names the attempt that was sent
- * @param load load at the time of the answer
  */
-public record ServerReply(
-    int status, boolean notRun, boolean signed, boolean answersAttempt, Optional<Load> load) {
-
-  /**
-   * Load of a server.
-   *
-   * @param running running requests
-   * @param waiting waiting requests
-   * @param slots requests that it runs at the same time
-   */
-  public record Load(int running, int waiting, int slots) {}
+public record ServerReply(int status, boolean notRun, boolean signed, boolean answersAttempt) {
 
   /**
    * Returns whether the answer reports success.
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
@@ -21,7 +21,7 @@
 
   static final GatewayService ENGINES =
       new GatewayService(
-          "engines", "/healthz", 100, 0, Optional.of(new EngineTraits(24, 30_000, true, true)));
+          "engines", "/healthz", 100, 0, Optional.of(new EngineTraits(24, 30_000, true)));
 
   static final GatewayService PLAIN =
       new GatewayService("plain", "/healthz", 100, 0, Optional.empty());
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/RunCopiesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/RunCopiesTest.java
@@ -3,7 +3,6 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
-import java.util.List;
 import java.util.Optional;
 import org.cactusseam.model.gateway.Continuation;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -21,7 +20,8 @@
 
   @Test
   void the_newest_copy_is_taken_first_and_each_one_once() {
-    copies.add(List.of(copy("older"), copy("newer")));
+    copies.add(copy("older"));
+    copies.add(copy("newer"));
 
     assertThat(copies.take(server -> true), is(Optional.of(copy("newer"))));
     assertThat(copies.take(server -> true), is(Optional.of(copy("older"))));
@@ -30,7 +30,8 @@
 
   @Test
   void a_copy_at_a_server_that_has_gone_is_passed_over() {
-    copies.add(List.of(copy("older"), copy("gone")));
+    copies.add(copy("older"));
+    copies.add(copy("gone"));
 
     assertThat(copies.take(server -> !server.id().equals("gone")), is(Optional.of(copy("older"))));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -208,20 +208,11 @@
   void tick(Instant now) {}
 
   final ServerCall call(
-      ServerInstance server,
-      Optional<String> lastEventId,
-      Optional<Continuation> continuation,
-      Optional<String> backupAddress) {
+      ServerInstance server, Optional<String> lastEventId, Optional<Continuation> continuation) {
     OptionalInt priority =
         head.demand().isPresent() ? OptionalInt.of(Math.min(9, rank())) : OptionalInt.empty();
     return new ServerCall(
-        server,
-        timeLeft(),
-        account.map(GatewayAccount::name),
-        priority,
-        lastEventId,
-        continuation,
-        backupAddress);
+        server, timeLeft(), account.map(GatewayAccount::name), priority, lastEventId, continuation);
   }
 
   final RequestOptions options(ServerInstance server, ServerCall call) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/PlainExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/PlainExchange.java
@@ -127,8 +127,7 @@
       gateway.loads().started(server.id(), 0);
       gateway
           .client()
-          .request(
-              options(server, call(server, Optional.empty(), Optional.empty(), Optional.empty())))
+          .request(options(server, call(server, Optional.empty(), Optional.empty())))
           .onSuccess(this::connected)
           .onFailure(cause -> unreachable(cause.toString()));
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -6,9 +6,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.cactusseam.edge.logging.StructuredLog;
@@ -26,25 +24,18 @@
   private final String attemptId;
   private final Placement.Need need;
   private final ServerInstance source;
-  private final Optional<ServerInstance> backup;
   private final Runnable sourceEnded;
   private final CopyPlan plan = new CopyPlan();
   private Optional<ServerInstance> counted = Optional.empty();
   private boolean closed;
 
-  RunCopier(
-      StreamExchange exchange,
-      ServerInstance source,
-      Optional<ServerInstance> backup,
-      Runnable sourceEnded) {
+  RunCopier(StreamExchange exchange, ServerInstance source, Runnable sourceEnded) {
     this.gateway = exchange.gateway;
     this.log = exchange.log;
     this.attemptId = exchange.head.attemptId();
     this.need = exchange.need();
     this.source = source;
-    this.backup = backup;
     this.sourceEnded = sourceEnded;
-    backup.ifPresent(holder -> gateway.loads().started(holder.id(), need.tokens()));
   }
 
   @Override
@@ -121,17 +112,10 @@
     counted.ifPresent(now -> gateway.loads().started(now.id(), need.tokens()));
   }
 
-  /** Returns the copies of the run, the newest last. */
-  List<Copy> copies() {
-    List<Copy> copies = new ArrayList<>();
-    backup.ifPresent(
-        holder -> copies.add(new Copy(holder, new Continuation(holder.address(), attemptId))));
-    plan.copy()
-        .ifPresent(
-            copy ->
-                copies.add(
-                    new Copy(copy.holder(), new Continuation(source.address(), copy.handle()))));
-    return copies;
+  /** Returns the copy of the run, if there is a complete one. */
+  Optional<Copy> copy() {
+    return plan.copy()
+        .map(copy -> new Copy(copy.holder(), new Continuation(source.address(), copy.handle())));
   }
 
   /** The run has ended; its copies no longer count as load. */
@@ -139,7 +123,6 @@
     if (!closed) {
       closed = true;
       count(Optional.empty());
-      backup.ifPresent(holder -> gateway.loads().ended(holder.id(), need.tokens()));
     }
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -62,18 +62,10 @@
 
   private void start(ServerInstance server, Optional<Continuation> continuation) {
     countSend(server);
-    current = new StreamRun(this, server, backupFor(server), continuation);
+    current = new StreamRun(this, server, continuation);
     current.start();
   }
 
-  /** A run that may not be repeated is backed up against crashes where memory is plentiful. */
-  private Optional<ServerInstance> backupFor(ServerInstance server) {
-    boolean copies = service.engine().filter(engine -> engine.copiesRuns()).isPresent();
-    return copies && !route.repetition().isRepeatable()
-        ? gateway.placement().chooseBackup(need(), server)
-        : Optional.empty();
-  }
-
   Optional<String> lastEventId() {
     return lastEvent.isPresent()
         ? Optional.of(Long.toString(lastEvent.getAsLong()))
@@ -177,8 +169,7 @@
         "stream_broken",
         field("server", run.server().id()),
         field("reason", reason),
-        field("last_event", lastEvent.isPresent() ? lastEvent.getAsLong() : "none"),
-        field("backup", run.backup().map(ServerInstance::id).orElse("none")));
+        field("last_event", lastEvent.isPresent() ? lastEvent.getAsLong() : "none"));
     continueElsewhere(run, reason);
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -28,7 +28,6 @@
   private final StreamExchange exchange;
   private final Gateway gateway;
   private final ServerInstance server;
-  private final Optional<ServerInstance> backup;
   private final Optional<Continuation> continuation;
   private final EventSplitter splitter;
   private final RunCopier copier;
@@ -38,17 +37,12 @@
   private boolean over;
   private Instant heardAt;
 
-  StreamRun(
-      StreamExchange exchange,
-      ServerInstance server,
-      Optional<ServerInstance> backup,
-      Optional<Continuation> continuation) {
+  StreamRun(StreamExchange exchange, ServerInstance server, Optional<Continuation> continuation) {
     this.exchange = exchange;
     this.gateway = exchange.gateway;
     this.server = server;
-    this.backup = backup;
     this.continuation = continuation;
-    this.copier = new RunCopier(exchange, server, backup, () -> broken("the server has ended"));
+    this.copier = new RunCopier(exchange, server, () -> broken("the server has ended"));
     this.splitter = new EventSplitter(event -> exchange.event(this, event));
     this.heardAt = gateway.clock().instant();
   }
@@ -57,10 +51,6 @@
     return server;
   }
 
-  Optional<ServerInstance> backup() {
-    return backup;
-  }
-
   boolean isContinuation() {
     return continuation.isPresent();
   }
@@ -76,13 +66,7 @@
     gateway
         .client()
         .request(
-            exchange.options(
-                server,
-                exchange.call(
-                    server,
-                    exchange.lastEventId(),
-                    continuation,
-                    backup.map(ServerInstance::address))))
+            exchange.options(server, exchange.call(server, exchange.lastEventId(), continuation)))
         .onSuccess(this::connected)
         .onFailure(this::unreachable);
   }
@@ -170,7 +154,7 @@
     }
     abort();
     gateway.health().unreachable(server.id(), gateway.clock().instant());
-    exchange.copies().add(copier.copies());
+    copier.copy().ifPresent(exchange.copies()::add);
     exchange.broken(this, reason);
   }
 
@@ -188,7 +172,7 @@
 
   boolean isCopied() {
     return !exchange.route.repetition().isRepeatable()
-        && exchange.service.engine().filter(EngineTraits::movesRuns).isPresent();
+        && exchange.service.engine().filter(EngineTraits::copiesRuns).isPresent();
   }
 
   private void askWhetherAlive() {
