Try another engine for resumable streams that fail, and announce closed connections

Cause (read in the diff): a stream that may be resumed was answered with its engine's 500 although a second run is allowed. A draining gateway closed a caller's connection after the answer without saying so in its head.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -288,6 +288,7 @@
     }
     logEnd(outcome, status, reason);
     finish();
+    announceClose();
     incoming.response().setStatusCode(status).putHeader("Content-Type", "text/plain").end(reason);
     closeIfDraining();
   }
@@ -305,6 +306,13 @@
         field("sends", sends));
   }
 
+  /** Tells the caller that its connection closes after the answer, before its head is written. */
+  final void announceClose() {
+    if (gateway.isDraining()) {
+      incoming.response().putHeader("Connection", "close");
+    }
+  }
+
   final void closeIfDraining() {
     if (gateway.isDraining()) {
       incoming.connection().close();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/PlainExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/PlainExchange.java
@@ -108,6 +108,7 @@
         .response()
         .headers()
         .addAll(gateway.translation().answerHeaders(answer.response().headers()));
+    announceClose();
     incoming.response().end(answer.body());
     closeIfDraining();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -24,6 +24,7 @@
 final class StreamExchange extends Exchange {
 
   private static final int STATUS_OK = 200;
+  private static final int STATUS_SERVER_ERROR = 500;
 
   private final HttpServerResponse response;
   private @Nullable StreamRun current;
@@ -78,6 +79,7 @@
       headWritten = true;
       response.setStatusCode(STATUS_OK).setChunked(true);
       response.headers().addAll(run.answerHeaders());
+      announceClose();
     }
   }
 
@@ -124,19 +126,20 @@
     logEnd(outcome, STATUS_OK, reason);
   }
 
-  /** The server answered with a failure of its own, which is passed on. */
+  /** The server answered with a failure of its own: another one is tried, or it is passed on. */
   void serverFailed(StreamRun run, int status, Buffer content) {
     if (isFinished() || run != current) {
       return;
     }
-    if (headWritten) {
-      breakOff("the server failed with status " + status);
+    if (headWritten || (status >= STATUS_SERVER_ERROR && mayRunAgain(run))) {
+      broken(run, "the server failed with status " + status);
       return;
     }
     logEnd("answered", status, "failure");
     finish();
     response.setStatusCode(status);
     response.headers().addAll(run.answerHeaders());
+    announceClose();
     response.end(content);
     closeIfDraining();
   }
@@ -177,10 +180,7 @@
     Optional<RunCopies.Copy> copy = copies.take(gateway.servers()::isUsable);
     if (copy.isPresent() && gateway.tryRetry(service.name())) {
       continueFrom(copy.get());
-    } else if (route.repetition().isRepeatable()
-        && runs < route.maximumRuns()
-        && gateway.placement().isServable(need())
-        && gateway.tryRetry(service.name())) {
+    } else if (mayRunAgain(run) && gateway.tryRetry(service.name())) {
       log.info("resumed", field("after", run.server().id()), field("reason", reason));
       seekPlace();
     } else {
@@ -188,6 +188,13 @@
     }
   }
 
+  private boolean mayRunAgain(StreamRun run) {
+    excluded.add(run.server().id());
+    return route.repetition().isRepeatable()
+        && runs < route.maximumRuns()
+        && gateway.placement().isServable(need());
+  }
+
   RunCopies copies() {
     return copies;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -117,6 +117,9 @@
           .body()
           .onSuccess(
               content -> {
+                if (over) {
+                  return;
+                }
                 gateway.health().failed(server.id());
                 release();
                 exchange.serverFailed(this, reply.status(), content);
