--- a/cactusseam-standins/src/test/java/org/cactusseam/standin/CommonFaultsTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/standin/CommonFaultsTest.java
@@ -75,7 +75,8 @@
       fixture.admin("DELETE", "/faults", "");
       StandInFixture.await(() -> !fixture.refuses());
 
-      fixture.fault("{\"refuse_connections_ms\":300}");
+      // Long against a pause of the test process, in which the refusals would go unseen.
+      fixture.fault("{\"refuse_connections_ms\":4000}");
       StandInFixture.await(fixture::refuses);
       StandInFixture.await(() -> !fixture.refuses());
 
