Refuse during a shutdown what cannot end before the process

A request that cannot end in time is now refused at once with a time to come back, and its connection closes.

--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/DrainPolicyTest.java
@@ -0,0 +1,74 @@
+package org.cactusseam.logic.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.cactusseam.model.gateway.GatewayRoute;
+import org.cactusseam.model.gateway.GenerationDemand;
+import org.cactusseam.model.gateway.Repetition;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against requests that a shutdown takes and then cuts off. */
+class DrainPolicyTest {
+
+  private static final long END_MILLIS = 7_700;
+
+  private static GatewayRoute route(Repetition repetition) {
+    return new GatewayRoute(
+        "route",
+        "salon.example",
+        "/a/",
+        repetition,
+        Duration.ofSeconds(2),
+        Duration.ofMillis(400),
+        Duration.ZERO,
+        1,
+        1,
+        false,
+        List.of(),
+        Set.of());
+  }
+
+  /** The case of 7,163 ms was cut off after 0.6 s (hunted day, mix with seed 559210551455). */
+  @ParameterizedTest(name = "{0} ms after the signal, {1} tokens expected, {2} at most: {3}")
+  @CsvSource({
+    "0, 400, 2204, true",
+    "0, 1000, 2204, false",
+    "2499, 300, 2204, true",
+    "2500, 300, 2204, false",
+    "2500, 8, 32, true",
+    "7163, 300, 2204, false",
+    "7163, 8, 32, false"
+  })
+  void a_stream_is_taken_if_it_ends_before_the_process(
+      long sinceMillis, int expected, int most, boolean taken) {
+    GenerationDemand demand = new GenerationDemand(3_000, most, OptionalInt.of(expected));
+
+    assertThat(
+        DrainPolicy.isServable(
+            route(Repetition.STREAM_OF_ONE_RUN),
+            Optional.of(demand),
+            Duration.ofMillis(sinceMillis),
+            Duration.ofMillis(END_MILLIS - sinceMillis)),
+        is(taken));
+  }
+
+  @ParameterizedTest(name = "{0} ms after the signal: {1}")
+  @CsvSource({"0, true", "5700, true", "5701, false"})
+  void a_plain_request_is_taken_if_its_time_limit_ends_before_the_process(
+      long sinceMillis, boolean taken) {
+    assertThat(
+        DrainPolicy.isServable(
+            route(Repetition.AT_MOST_ONCE),
+            Optional.empty(),
+            Duration.ofMillis(sinceMillis),
+            Duration.ofMillis(END_MILLIS - sinceMillis)),
+        is(taken));
+  }
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -3,10 +3,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.cactusseam.edge.backend.BackendConnections;
 import org.cactusseam.logic.gateway.Departures;
@@ -21,6 +24,9 @@
 /** State of a gateway that its requests share. Confined to the event loop. */
 public final class Gateway {
 
+  /** Time before the platform's kill at which the process ends by itself. */
+  private static final Duration END_MARGIN = Duration.ofMillis(300);
+
   private final Vertx vertx;
   private final Clock clock;
   private final GatewaySettings settings;
@@ -38,7 +44,7 @@
   private final Map<String, WaitingLine<Exchange>> waiting = new HashMap<>();
   private final Set<Exchange> active = new LinkedHashSet<>();
   private int vms = 1;
-  private boolean draining;
+  private Optional<Instant> drainingSince = Optional.empty();
 
   /**
    * Creates a gateway without configuration and servers.
@@ -170,11 +176,23 @@
   }
 
   boolean isDraining() {
-    return draining;
+    return drainingSince.isPresent();
   }
 
   void drain() {
-    draining = true;
+    drainingSince = Optional.of(clock.instant());
+  }
+
+  /** Returns the time since the signal to stop, zero without one. */
+  Duration drainingFor() {
+    return drainingSince
+        .map(since -> Duration.between(since, clock.instant()))
+        .orElse(Duration.ZERO);
+  }
+
+  /** Returns the time until the process ends by itself, counted from the signal to stop. */
+  Duration timeUntilEnd() {
+    return settings.shutdownGrace().minus(END_MARGIN).minus(drainingFor());
   }
 
   /**
@@ -183,6 +201,6 @@
    * @return readiness
    */
   boolean isReady() {
-    return !draining && routes.version().isPresent() && !servers.all().isEmpty();
+    return !isDraining() && routes.version().isPresent() && !servers.all().isEmpty();
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -27,16 +27,12 @@
   /** An engine leaves 1.5 s after its notice at the earliest; reports are up to 0.5 s old. */
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
 
-  /** Time before the platform's kill at which the process ends by itself. */
-  private static final Duration END_MARGIN = Duration.ofMillis(300);
-
   private final Gateway gateway;
   private final GatewayServer server;
   private final RecordRelay relay;
   private final GatewayPeers peers;
   private final Runnable exit;
   private Instant reportsAskedAt = Instant.MIN;
-  private Instant drainingSince = Instant.MAX;
   private boolean closing;
 
   /**
@@ -77,7 +73,7 @@
     gateway.active().forEach(exchange -> exchange.tick(now));
     gateway.offerPlaces();
     if (gateway.isDraining() && !closing) {
-      endIfDrained(now);
+      endIfDrained();
     }
   }
 
@@ -115,11 +111,10 @@
                 LOG.info("report_missing", field("server", server.id()), field("cause", cause)));
   }
 
-  private void endIfDrained(Instant now) {
-    Duration elapsed = Duration.between(drainingSince, now);
-    boolean idle = gateway.active().isEmpty() && elapsed.compareTo(BALANCER_DELAY) >= 0;
-    Duration limit = gateway.settings().shutdownGrace().minus(END_MARGIN);
-    if (idle || elapsed.compareTo(limit) >= 0) {
+  private void endIfDrained() {
+    boolean idle =
+        gateway.active().isEmpty() && gateway.drainingFor().compareTo(BALANCER_DELAY) >= 0;
+    if (idle || !gateway.timeUntilEnd().isPositive()) {
       closing = true;
       LOG.info("stopped", field("open_requests", gateway.active().size()));
       server.close().onComplete(closed -> exit.run());
@@ -130,7 +125,6 @@
   public void drain() {
     if (!gateway.isDraining()) {
       LOG.info("draining", field("open_requests", gateway.active().size()));
-      drainingSince = gateway.clock().instant();
       gateway.drain();
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.logic.gateway.DrainPolicy;
 import org.cactusseam.logic.gateway.RouteDecision;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayRoute;
@@ -40,6 +41,9 @@
   private static final int STATUS_UNAVAILABLE = 503;
   private static final String RETRY_AFTER_NOT_CONFIGURED = "0.5";
 
+  /** Other VMs take the request at once. */
+  private static final String RETRY_AFTER_DRAINING = "0.05";
+
   private final Gateway gateway;
   private final HttpServer callers;
   private final HttpServer readiness;
@@ -131,6 +135,17 @@
       reject(request, STATUS_UNAVAILABLE, "the service of the route is not configured");
       return;
     }
+    if (gateway.isDraining()
+        && !DrainPolicy.isServable(
+            accepted.route(), head.demand(), gateway.drainingFor(), gateway.timeUntilEnd())) {
+      request
+          .response()
+          .putHeader("Retry-After", RETRY_AFTER_DRAINING)
+          .putHeader("Connection", "close");
+      reject(request, STATUS_UNAVAILABLE, "this VM shuts down");
+      request.connection().close();
+      return;
+    }
     Exchange exchange =
         accepted.route().repetition().isStream()
             ? new StreamExchange(gateway, request, body, head, accepted, service.get(), receivedAt)
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -20,7 +20,7 @@
 final class StreamRun {
 
   /**
-   * Silence after which the server is asked whether it lives. Ten times the longest pause of a
+   * Silence after which the server is asked whether it lives. Seven times the longest pause of a
    * stream on time (SYSTEM page), and below the gap after which callers leave.
    */
   static final Duration SILENCE = Duration.ofMillis(1_200);
