--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/DrainPolicy.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/DrainPolicy.java
@@ -13,7 +13,8 @@
 public final class DrainPolicy {
 
   /**
-   * Time from the signal during which a stream is taken if its expected length fits. Later its
+   * Time from the signal during which every stream is taken: the balancer still sends new callers,
+   * many streams end in time, and a refused caller may meet another VM that shuts down. Later the
    * longest possible length must fit: a stream that is taken late must not be cut off.
    */
   static final Duration EARLY = Duration.ofMillis(2_500);
@@ -42,18 +43,14 @@
       Optional<GenerationDemand> demand,
       Duration sinceSignal,
       Duration untilEnd) {
-    Duration needed =
-        route.repetition().isStream()
-            ? demand.map(each -> streamTime(each, sinceSignal)).orElse(route.timeout())
-            : route.timeout();
-    return needed.compareTo(untilEnd) <= 0;
+    if (!route.repetition().isStream()) {
+      return route.timeout().compareTo(untilEnd) <= 0;
+    }
+    return sinceSignal.compareTo(EARLY) < 0
+        || demand.map(DrainPolicy::longestTime).orElse(route.timeout()).compareTo(untilEnd) <= 0;
   }
 
-  private static Duration streamTime(GenerationDemand demand, Duration sinceSignal) {
-    int tokens =
-        sinceSignal.compareTo(EARLY) < 0
-            ? demand.expectedTokens() - demand.promptTokens()
-            : demand.maximumOutputTokens();
-    return FIRST_EVENT.plusMillis(tokens * MILLIS_PER_TOKEN);
+  private static Duration longestTime(GenerationDemand demand) {
+    return FIRST_EVENT.plusMillis(demand.maximumOutputTokens() * MILLIS_PER_TOKEN);
   }
 }
