Keep a run's copy when its update is rejected

Ruled out: the engine dropping the copy at the rejection; calls between the same engines continue later with the same handle.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
@@ -98,16 +98,20 @@
   }
 
   /**
-   * An engine has rejected a copy; it holds none.
+   * An engine has rejected a copy, or the update of one. A copy that it holds already stays:
+   * engines keep a copy for some seconds after its last part, and what it lacks is read again.
    *
    * @param target engine that was to receive it
    * @param now time
    */
   public void rejected(ServerInstance target, Instant now) {
     inProgress = false;
-    copy = Optional.empty();
-    rejectedBy.add(target.id());
-    nextCall = now.plus(RETRY);
+    if (copy.isPresent()) {
+      nextCall = now.plus(REFRESH);
+    } else {
+      rejectedBy.add(target.id());
+      nextCall = now.plus(RETRY);
+    }
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineReport.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineReport.java
@@ -8,5 +8,15 @@
  *
  * @param leavesIn time until it is gone, if it knows
  * @param leaving whether it takes no further requests
+ * @param memoryUsed tokens of runs and copies that cannot be evicted
+ * @param memoryTotal tokens that fit into its memory
+ * @param running requests that it runs
+ * @param waiting requests that it has accepted and does not run yet
  */
-public record EngineReport(Optional<Duration> leavesIn, boolean leaving) {}
+public record EngineReport(
+    Optional<Duration> leavesIn,
+    boolean leaving,
+    int memoryUsed,
+    int memoryTotal,
+    int running,
+    int waiting) {}
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/CopyPlanTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/CopyPlanTest.java
@@ -95,6 +95,22 @@
     assertThat(plan.copy(), is(Optional.of(new CopyPlan.Copy(first, "handle"))));
   }
 
+  /**
+   * Guards against the loss of a complete copy because its engine has no room for the update. On
+   * the platform runs ended that way although an engine held nearly all of their memory.
+   */
+  @Test
+  void a_copy_is_still_held_when_its_update_is_rejected() {
+    next(true, Duration.ZERO);
+    plan.copied(first, "handle", START);
+    next(true, CopyPlan.REFRESH);
+
+    plan.rejected(first, START.plus(CopyPlan.REFRESH));
+
+    assertThat(plan.copy(), is(Optional.of(new CopyPlan.Copy(first, "handle"))));
+    assertThat(next(true, CopyPlan.REFRESH.multipliedBy(2)), is(Optional.of(first)));
+  }
+
   @Test
   void a_copy_at_an_engine_that_leaves_is_made_again_elsewhere() {
     next(true, Duration.ZERO);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -90,8 +90,8 @@
       }
       case EngineCalls.CopyResult.Rejected rejected -> {
         log("copy_rejected", target, startedAt, rejected.reason());
-        count(Optional.empty());
         plan.rejected(target, gateway.clock().instant());
+        count(plan.copy().map(CopyPlan.Copy::holder));
       }
     }
   }
