Choose the holders of copies by what engines report of their room

The loads that gateways count contain what runs need at their end, and engines that left were known only to the gateways that used them, since a reported departure was not told to the others. Ruled out: a limit on copies by engine (6 and 7 were accepted).

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Departures.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Departures.java
@@ -11,27 +11,61 @@
   /** Servers are gone some seconds after their notice; their identity is not used again before. */
   private static final Duration KEPT = Duration.ofSeconds(30);
 
-  private final Map<String, Instant> noticedAt = new HashMap<>();
+  /**
+   * Age from which an entry that says nothing of a departure is newer than the report that did: the
+   * entry lags by up to 0.8 s (site files) and is written every 1.2 s.
+   */
+  private static final Duration ENTRY_LAG = Duration.ofSeconds(3);
+
+  private final Map<String, Notice> notices = new HashMap<>();
+
+  /** How a departure became known. */
+  public enum Sign {
+    /** The entry of the server says so. */
+    ANNOUNCED,
+    /** The entry is gone; some servers leave without an announcement. */
+    ENTRY_GONE,
+    /** The server says so itself, or another VM has been told. */
+    REPORTED
+  }
+
+  private record Notice(Sign sign, Instant at) {}
 
   /**
-   * A server has announced that it leaves.
+   * A server leaves.
    *
    * @param serverId server
+   * @param sign how this became known
    * @param now time
    * @return whether this was not known
    */
-  public boolean noticed(String serverId, Instant now) {
-    noticedAt.values().removeIf(at -> at.plus(KEPT).isBefore(now));
-    return noticedAt.putIfAbsent(serverId, now) == null;
+  public boolean noticed(String serverId, Sign sign, Instant now) {
+    notices.values().removeIf(notice -> notice.at().plus(KEPT).isBefore(now));
+    return notices.putIfAbsent(serverId, new Notice(sign, now)) == null;
+  }
+
+  /**
+   * The entry of a server says that it takes requests. A report of its departure that is younger
+   * than the lag of the entry still holds.
+   *
+   * @param serverId server
+   * @param now time
+   */
+  public void listedAsReady(String serverId, Instant now) {
+    Notice notice = notices.get(serverId);
+    if (notice != null
+        && (notice.sign() != Sign.REPORTED || notice.at().plus(ENTRY_LAG).isBefore(now))) {
+      notices.remove(serverId);
+    }
   }
 
   /**
-   * A server takes requests again, or another one has its identity.
+   * Another process has the identity of a server.
    *
    * @param serverId server
    */
-  public void cancelled(String serverId) {
-    noticedAt.remove(serverId);
+  public void startedAgain(String serverId) {
+    notices.remove(serverId);
   }
 
   /**
@@ -41,6 +75,6 @@
    * @return whether it has announced it and not taken it back
    */
   public boolean isLeaving(String serverId) {
-    return noticedAt.containsKey(serverId);
+    return notices.containsKey(serverId);
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -42,6 +42,9 @@
    */
   private static final double COPY_SPREAD = 0.4;
 
+  /** Room for what a run generates until its engine ends: 2 s with a step of 7 ms and more. */
+  private static final int COPY_GROWTH_TOKENS = 250;
+
   /** Odd number with well-mixed bits (Knuth's multiplicative hash). */
   private static final int HASH_FACTOR = 0x9E3779B1;
 
@@ -59,6 +62,7 @@
   private final LoadBoard loads;
   private final ServerHealth health;
   private final Departures departures;
+  private final EngineReports reports;
   private final ColdLimit.Tolerance tolerance;
   private final Map<String, RateShare> rates = new HashMap<>();
   private int vms = 1;
@@ -113,6 +117,7 @@
    * @param loads load of the servers
    * @param health health of the servers
    * @param departures servers that leave
+   * @param reports what engines report of their room
    * @param tolerance how far a cold server may be overrun
    */
   public Placement(
@@ -122,6 +127,7 @@
       LoadBoard loads,
       ServerHealth health,
       Departures departures,
+      EngineReports reports,
       ColdLimit.Tolerance tolerance) {
     this.clock = clock;
     this.location = location;
@@ -129,6 +135,7 @@
     this.loads = loads;
     this.health = health;
     this.departures = departures;
+    this.reports = reports;
     this.tolerance = tolerance;
   }
 
@@ -171,9 +178,10 @@
   }
 
   /**
-   * Chooses a server that takes over a run from another one.
+   * Chooses a server that takes over a run from another one, by the room that engines report. A
+   * server without a report of use is chosen by the loads of the VMs.
    *
-   * @param need what the run needs
+   * @param need what the run needs; its tokens are those in memory now
    * @param source server of the run
    * @return server, or nothing if none has room
    */
@@ -182,7 +190,7 @@
     return servers.usable(need.service().name()).stream()
         .filter(server -> !server.id().equals(source.id()))
         .filter(server -> isAllowed(need, server))
-        .filter(server -> hasRoom(need, server))
+        .filter(server -> hasRoomForCopy(need, server, now))
         .filter(server -> !health.isSuspended(server.id(), now))
         .min(Comparator.comparingDouble(server -> copyCost(need, server, source)));
   }
@@ -225,6 +233,13 @@
         || load.tokens() + need.tokens() <= MEMORY_PART * memory.getAsInt();
   }
 
+  private boolean hasRoomForCopy(Need need, ServerInstance server, Instant now) {
+    OptionalInt free = reports.freeTokens(server.id(), now);
+    return free.isPresent()
+        ? need.tokens() + COPY_GROWTH_TOKENS <= free.getAsInt()
+        : hasRoom(need, server);
+  }
+
   private static int slots(Need need, ServerInstance server) {
     int configured = need.service().engine().map(EngineTraits::slots).orElse(0);
     int slots = server.slots() > 0 ? server.slots() : configured;
@@ -252,11 +267,14 @@
   }
 
   private double load(Need need, ServerInstance server) {
-    LoadBoard.ServerLoad load = loads.total(server.id());
-    double runs = (load.runs() + 1.0) / Math.min(slots(need, server), 1 << 16);
+    return load(need, server, loads.total(server.id()).tokens());
+  }
+
+  private double load(Need need, ServerInstance server, int usedTokens) {
+    double runs = (loads.total(server.id()).runs() + 1.0) / Math.min(slots(need, server), 1 << 16);
     OptionalInt memory = memory(need.service());
     double tokens =
-        memory.isPresent() ? (load.tokens() + need.tokens()) / (double) memory.getAsInt() : 0;
+        memory.isPresent() ? (usedTokens + need.tokens()) / (double) memory.getAsInt() : 0;
     double warmUp = servers.isWarmingUp(server.id(), clock.instant()) ? WARMING_UP : 0;
     return runs + tokens + warmUp + distance(server) + FAILURES * health.failureShare(server.id());
   }
@@ -264,7 +282,13 @@
   private double copyCost(Need need, ServerInstance server, ServerInstance source) {
     double distance =
         server.failureDomain().equals(source.failureDomain()) ? 0 : COPY_OTHER_FAILURE_DOMAIN;
-    return load(need, server) + distance + COPY_SPREAD * spread(need, server);
+    OptionalInt free = reports.freeTokens(server.id(), clock.instant());
+    OptionalInt memory = memory(need.service());
+    double load =
+        free.isPresent() && memory.isPresent()
+            ? load(need, server, memory.getAsInt() - free.getAsInt())
+            : load(need, server);
+    return load + distance + COPY_SPREAD * spread(need, server);
   }
 
   /** Returns a number between 0 and 1 that differs between requests and servers. */
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerTable.java
@@ -64,31 +64,29 @@
    *
    * @param id server
    * @param now time
+   * @return the server, if it is taken as gone; nothing if its entry may have lapsed
    */
-  public void remove(String id, Instant now) {
+  public Optional<ServerInstance> remove(String id, Instant now) {
     Entry entry = entries.get(id);
     if (entry == null) {
-      return;
+      return Optional.empty();
     }
-    if (entry.instance.leaving() || !now.isBefore(graceUntil)) {
+    if (entry.instance.leaving() || !isGrace(now)) {
       entries.remove(id);
-    } else {
-      entry.absent = true;
+      return Optional.of(entry.instance);
     }
+    entry.absent = true;
+    return Optional.empty();
   }
 
   /**
-   * Takes the whole list of servers: all others have disappeared.
+   * Returns whether entries that are missing may have lapsed while the store was away.
    *
-   * @param ids servers that are listed
    * @param now time
+   * @return whether the store has returned a short time ago
    */
-  public void retainOnly(Set<String> ids, Instant now) {
-    for (String id : List.copyOf(entries.keySet())) {
-      if (!ids.contains(id)) {
-        remove(id, now);
-      }
-    }
+  public boolean isGrace(Instant now) {
+    return now.isBefore(graceUntil);
   }
 
   /**
@@ -104,11 +102,19 @@
    * Drops entries that are still missing after the return of the store.
    *
    * @param now time
+   * @return their servers, which are taken as gone
    */
-  public void tick(Instant now) {
-    if (!now.isBefore(graceUntil)) {
-      entries.values().removeIf(entry -> entry.absent);
+  public List<ServerInstance> tick(Instant now) {
+    if (isGrace(now)) {
+      return List.of();
     }
+    List<ServerInstance> gone =
+        entries.values().stream()
+            .filter(entry -> entry.absent)
+            .map(entry -> entry.instance)
+            .toList();
+    gone.forEach(instance -> entries.remove(instance.id()));
+    return gone;
   }
 
   /**
@@ -125,16 +131,6 @@
     }
   }
 
-  /**
-   * Takes the whole list of failure domains that are out of service.
-   *
-   * @param failureDomains names
-   */
-  public void evacuateOnly(Set<String> failureDomains) {
-    evacuated.clear();
-    evacuated.addAll(failureDomains);
-  }
-
   /**
    * Returns the servers of a service that may receive new requests.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineReport.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineReport.java
@@ -1,6 +1,7 @@
 package org.cactusseam.model.gateway;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -12,6 +13,7 @@
  * @param memoryTotal tokens that fit into its memory
  * @param running requests that it runs
  * @param waiting requests that it has accepted and does not run yet
+ * @param runTokens tokens in memory of each run, by the identity of its attempt
  */
 public record EngineReport(
     Optional<Duration> leavesIn,
@@ -19,4 +21,11 @@
     int memoryUsed,
     int memoryTotal,
     int running,
-    int waiting) {}
+    int waiting,
+    Map<String, Integer> runTokens) {
+
+  /** Copies the map. */
+  public EngineReport {
+    runTokens = Map.copyOf(runTokens);
+  }
+}
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.cactusseam.model.gateway.CallerLimits;
 import org.cactusseam.model.gateway.CallerRequest;
+import org.cactusseam.model.gateway.EngineReport;
 import org.cactusseam.model.gateway.EngineTraits;
 import org.cactusseam.model.gateway.GatewayAccount;
 import org.cactusseam.model.gateway.GatewayConfiguration;
@@ -33,6 +34,10 @@
         id, 1, service, "127.0.0.1", 8_000, failureDomain, 24, false, Duration.ZERO);
   }
 
+  static EngineReport report(int memoryUsed) {
+    return new EngineReport(Optional.empty(), false, memoryUsed, 30_000, 0, 0, Map.of());
+  }
+
   static ServerInstance leaving(ServerInstance server) {
     return new ServerInstance(
         server.id(),
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
@@ -26,6 +26,7 @@
   private final LoadBoard loads = new LoadBoard();
   private final ServerHealth health = new ServerHealth();
   private final Departures departures = new Departures();
+  private final EngineReports reports = new EngineReports();
   private final Placement placement =
       new Placement(
           clock,
@@ -35,6 +36,7 @@
           loads,
           health,
           departures,
+          reports,
           new ColdLimit.Tolerance(1.5, 5));
   private final ServerInstance near = GatewayFixtures.server("near", "engines", "ost-wien");
   private final ServerInstance far = GatewayFixtures.server("far", "engines", "west-ibk");
@@ -100,7 +102,7 @@
 
   @Test
   void a_server_that_leaves_gets_nothing_new() {
-    departures.noticed("near", clock.instant());
+    departures.noticed("near", Departures.Sign.ANNOUNCED, clock.instant());
 
     assertThat(choose(LETTER), is(Optional.of("far")));
   }
@@ -115,6 +117,31 @@
     assertThat(placement.choose(need), is(Optional.empty()));
   }
 
+  /**
+   * Replays a copy that was rejected nine times until its run was lost: the loads of the VMs count
+   * what runs need at their end and said that this engine has the most room.
+   */
+  @Test
+  void a_copy_goes_where_the_engines_report_room_for_it() {
+    ServerInstance third = GatewayFixtures.server("third", "engines", "ost-wien");
+    servers.put(third, Instant.EPOCH);
+    loads.started("third", 26_000);
+    reports.put("far", GatewayFixtures.report(27_000), clock.instant());
+    reports.put("third", GatewayFixtures.report(9_000), clock.instant());
+
+    assertThat(
+        placement.chooseCopy(need(GatewayFixtures.ENGINES, LETTER, 0), near),
+        is(Optional.of(third)));
+  }
+
+  @Test
+  void no_copy_is_sent_to_engines_without_room() {
+    reports.put("far", GatewayFixtures.report(27_000), clock.instant());
+
+    assertThat(
+        placement.chooseCopy(need(GatewayFixtures.ENGINES, LETTER, 0), near), is(Optional.empty()));
+  }
+
   /**
    * Replays the notice of a leaving engine: all VMs copy its runs at the same moment, without
    * knowledge of each other's choices. Before, all copies went to one engine and did not fit.
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerTableTest.java
@@ -1,13 +1,14 @@
 package org.cactusseam.logic.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Set;
+import java.util.Optional;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -50,6 +51,17 @@
     assertThat(table.usable("engines"), hasSize(servers));
   }
 
+  /** Guards runs that would be copied in vain, all at once, when entries only lapsed. */
+  @Test
+  void a_server_is_taken_as_gone_when_its_entry_is_missing_after_the_grace() {
+    table.put(server, START);
+    table.storeReturned(START);
+
+    assertThat(table.remove("s-1", START), is(Optional.empty()));
+    assertThat(table.tick(START.plusMillis(2_199)), is(empty()));
+    assertThat(table.tick(START.plusMillis(2_200)), contains(server));
+  }
+
   /** Guards against requests to a server that has announced its leaving before the outage. */
   @Test
   void a_leaving_server_is_not_kept_after_an_outage_of_the_store() {
@@ -64,7 +76,7 @@
   void an_entry_that_is_back_stays_after_the_grace() {
     table.put(server, START);
     table.storeReturned(START);
-    table.retainOnly(Set.of(), START);
+    table.remove("s-1", START);
     table.put(server, START.plusSeconds(1));
 
     table.tick(START.plusSeconds(5));
@@ -90,7 +102,7 @@
     table.evacuate("ost-wien", true);
     assertThat(table.usable("engines"), is(empty()));
 
-    table.evacuateOnly(Set.of());
+    table.evacuate("ost-wien", false);
     assertThat(table.usable("engines"), hasSize(1));
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
@@ -1,6 +1,5 @@
 package org.cactusseam.edge.gateway;
 
-import java.util.Set;
 import org.cactusseam.model.gateway.GatewayConfiguration;
 import org.cactusseam.model.gateway.ServerInstance;
 
@@ -22,20 +21,6 @@
    */
   void evacuated(String failureDomain, boolean out);
 
-  /**
-   * The whole list of failure domains that are out of service was read.
-   *
-   * @param failureDomains names of all of them
-   */
-  void allEvacuated(Set<String> failureDomains);
-
-  /**
-   * The whole list of servers was read; the entries of all others are gone.
-   *
-   * @param ids servers that are listed
-   */
-  void onlyServers(Set<String> ids);
-
   /**
    * The entry of a server was read.
    *
@@ -47,8 +32,9 @@
    * The entry of a server is gone.
    *
    * @param id server
+   * @return whether the server is taken as gone; its entry may have lapsed while the store was away
    */
-  void serverGone(String id);
+  boolean serverGone(String id);
 
   /** The store answers again after it was away. */
   void storeReturned();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.gateway;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.time.Clock;
@@ -12,7 +14,9 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cactusseam.edge.backend.BackendConnections;
+import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.Departures;
+import org.cactusseam.logic.gateway.EngineReports;
 import org.cactusseam.logic.gateway.LoadBoard;
 import org.cactusseam.logic.gateway.Placement;
 import org.cactusseam.logic.gateway.RetryBudget;
@@ -20,10 +24,13 @@
 import org.cactusseam.logic.gateway.ServerHealth;
 import org.cactusseam.logic.gateway.ServerTable;
 import org.cactusseam.logic.gateway.WaitingLine;
+import org.cactusseam.model.gateway.ServerInstance;
 
 /** State of a gateway that its requests share. Confined to the event loop. */
 public final class Gateway {
 
+  private static final StructuredLog LOG = StructuredLog.of(Gateway.class);
+
   /** Time before the platform's kill at which the process ends by itself. */
   private static final Duration END_MARGIN = Duration.ofMillis(300);
 
@@ -38,6 +45,7 @@
   private final LoadBoard loads = new LoadBoard();
   private final ServerHealth health = new ServerHealth();
   private final Departures departures = new Departures();
+  private final EngineReports reports = new EngineReports();
   private final Placement placement;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
@@ -75,6 +83,7 @@
             loads,
             health,
             departures,
+            reports,
             settings.coldTolerance());
   }
 
@@ -118,6 +127,30 @@
     return departures;
   }
 
+  EngineReports reports() {
+    return reports;
+  }
+
+  /**
+   * Takes it that a server leaves.
+   *
+   * @return whether this was not known
+   */
+  boolean noticeDeparture(ServerInstance server, Departures.Sign sign) {
+    boolean isNew = departures.noticed(server.id(), sign, clock.instant());
+    if (isNew) {
+      LOG.info("server_leaving", field("server", server.id()), field("how", sign));
+    }
+    return isNew;
+  }
+
+  /** Forgets what is known of a process whose identity another one has now. */
+  void startedAgain(ServerInstance server) {
+    health.forget(server.id());
+    departures.startedAgain(server.id());
+    reports.forget(server.id());
+  }
+
   ServerHealth health() {
     return health;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -29,6 +29,14 @@
    */
   record Relayed(StoreRecord record) implements GatewayMessage {}
 
+  /**
+   * A server has reported that it leaves.
+   *
+   * @param serverId server
+   * @param bornMillis start of its process, in milliseconds of the Unix epoch
+   */
+  record Departure(String serverId, long bornMillis) implements GatewayMessage {}
+
   /** Answer to {@link Loads}: the connection is alive. */
   record Received() implements GatewayMessage {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -24,6 +24,7 @@
   private static final int RECORDS_WANTED = 2;
   private static final int RELAYED = 3;
   private static final int RECEIVED = 4;
+  private static final int DEPARTURE = 5;
 
   private GatewayMessageCodec() {}
 
@@ -35,6 +36,11 @@
             packer.packInt(RECORDS_WANTED).packString(wanted.node());
         case GatewayMessage.Relayed relayed -> write(packer, relayed.record());
         case GatewayMessage.Received received -> packer.packInt(RECEIVED);
+        case GatewayMessage.Departure departure ->
+            packer
+                .packInt(DEPARTURE)
+                .packString(departure.serverId())
+                .packLong(departure.bornMillis());
       }
       byte[] value = packer.toByteArray();
       return Buffer.buffer(PeerCodec.LENGTH_BYTES + value.length)
@@ -85,6 +91,8 @@
       case RECORDS_WANTED -> new GatewayMessage.RecordsWanted(unpacker.unpackString());
       case RELAYED -> new GatewayMessage.Relayed(readRecord(unpacker, length));
       case RECEIVED -> new GatewayMessage.Received();
+      case DEPARTURE ->
+          new GatewayMessage.Departure(unpacker.unpackString(), unpacker.unpackLong());
       default -> throw new IOException("unknown kind of message " + kind);
     };
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -18,7 +18,9 @@
 import java.util.TreeMap;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.FrameReader;
+import org.cactusseam.logic.gateway.Departures;
 import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.gateway.StoreRecord;
 
 /**
@@ -151,6 +153,13 @@
     }
   }
 
+  /** Tells the other gateways what an engine has reported; its entry may say so later or never. */
+  void tellDeparture(ServerInstance server) {
+    Buffer frame =
+        GatewayMessageCodec.encode(new GatewayMessage.Departure(server.id(), server.bornMillis()));
+    links.values().forEach(link -> link.send(frame));
+  }
+
   private void send(String node, Buffer frame) {
     GatewayPeerLink link = links.get(node);
     if (link != null) {
@@ -183,6 +192,12 @@
       }
       case GatewayMessage.RecordsWanted wanted -> subscribe(wanted.node());
       case GatewayMessage.Relayed relayed -> relay.relayed(relayed.record());
+      case GatewayMessage.Departure departure ->
+          gateway
+              .servers()
+              .find(departure.serverId())
+              .filter(server -> server.bornMillis() == departure.bornMillis())
+              .ifPresent(server -> gateway.noticeDeparture(server, Departures.Sign.REPORTED));
       case GatewayMessage.Received received -> {
         // Only dialled connections carry it; the link counts it as a sign of life.
       }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -5,8 +5,9 @@
 import io.vertx.core.Future;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Set;
+import java.util.Optional;
 import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.logic.gateway.Departures;
 import org.cactusseam.model.gateway.GatewayConfiguration;
 import org.cactusseam.model.gateway.ServerInstance;
 
@@ -24,15 +25,12 @@
    */
   private static final Duration BALANCER_DELAY = Duration.ofMillis(3_200);
 
-  /** An engine leaves 1.5 s after its notice at the earliest; reports are up to 0.5 s old. */
-  private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
-
   private final Gateway gateway;
   private final GatewayServer server;
   private final RecordRelay relay;
   private final GatewayPeers peers;
+  private final ReportPoller reports;
   private final Runnable exit;
-  private Instant reportsAskedAt = Instant.MIN;
   private boolean closing;
 
   /**
@@ -47,6 +45,7 @@
     this.server = new GatewayServer(gateway);
     this.relay = relay;
     this.peers = new GatewayPeers(gateway, relay);
+    this.reports = new ReportPoller(gateway, peers::tellDeparture);
     this.exit = exit;
   }
 
@@ -62,14 +61,14 @@
 
   private void tick() {
     Instant now = gateway.clock().instant();
-    gateway.servers().tick(now);
+    gateway
+        .servers()
+        .tick(now)
+        .forEach(server -> gateway.noticeDeparture(server, Departures.Sign.ENTRY_GONE));
     gateway.loads().tick(now);
     gateway.placement().tick();
     peers.tick(now);
-    if (relay.isStoreAway() && reportsAskedAt.plus(REPORT_INTERVAL).isBefore(now)) {
-      reportsAskedAt = now;
-      askForReports();
-    }
+    reports.tick(relay.isStoreAway(), now);
     gateway.active().forEach(exchange -> exchange.tick(now));
     gateway.offerPlaces();
     if (gateway.isDraining() && !closing) {
@@ -77,40 +76,6 @@
     }
   }
 
-  /** While the store is away, only the engines themselves tell that they leave. */
-  private void askForReports() {
-    for (String id : gateway.loads().own().keySet()) {
-      gateway
-          .servers()
-          .find(id)
-          .filter(server -> isEngine(server) && !gateway.departures().isLeaving(id))
-          .ifPresent(this::askForReport);
-    }
-  }
-
-  private boolean isEngine(ServerInstance server) {
-    return gateway
-        .routes()
-        .service(server.service())
-        .flatMap(service -> service.engine())
-        .isPresent();
-  }
-
-  private void askForReport(ServerInstance server) {
-    gateway
-        .engines()
-        .report(server)
-        .onSuccess(
-            report -> {
-              if (report.leaving() || report.leavesIn().isPresent()) {
-                noticeDeparture(server, "reported");
-              }
-            })
-        .onFailure(
-            cause ->
-                LOG.info("report_missing", field("server", server.id()), field("cause", cause)));
-  }
-
   private void endIfDrained() {
     boolean idle =
         gateway.active().isEmpty() && gateway.drainingFor().compareTo(BALANCER_DELAY) >= 0;
@@ -146,22 +111,10 @@
     gateway.servers().evacuate(failureDomain, out);
   }
 
-  @Override
-  public void allEvacuated(Set<String> failureDomains) {
-    gateway.servers().evacuateOnly(failureDomains);
-  }
-
-  @Override
-  public void onlyServers(Set<String> ids) {
-    LOG.info("servers", field("listed", ids.size()));
-    gateway.servers().retainOnly(ids, gateway.clock().instant());
-  }
-
   @Override
   public void server(ServerInstance instance) {
     if (gateway.servers().put(instance, gateway.clock().instant())) {
-      gateway.health().forget(instance.id());
-      gateway.departures().cancelled(instance.id());
+      gateway.startedAgain(instance);
       LOG.info(
           "server_listed",
           field("server", instance.id()),
@@ -169,23 +122,18 @@
           field("domain", instance.failureDomain()));
     }
     if (instance.leaving()) {
-      noticeDeparture(instance, "announced");
+      gateway.noticeDeparture(instance, Departures.Sign.ANNOUNCED);
     } else {
-      gateway.departures().cancelled(instance.id());
+      gateway.departures().listedAsReady(instance.id(), gateway.clock().instant());
     }
   }
 
   @Override
-  public void serverGone(String id) {
+  public boolean serverGone(String id) {
     // Some servers do not announce that they leave: their entry goes, and they serve on for a time.
-    gateway.servers().find(id).ifPresent(instance -> noticeDeparture(instance, "entry_gone"));
-    gateway.servers().remove(id, gateway.clock().instant());
-  }
-
-  private void noticeDeparture(ServerInstance instance, String how) {
-    if (gateway.departures().noticed(instance.id(), gateway.clock().instant())) {
-      LOG.info("server_leaving", field("server", instance.id()), field("how", how));
-    }
+    Optional<ServerInstance> gone = gateway.servers().remove(id, gateway.clock().instant());
+    gone.ifPresent(server -> gateway.noticeDeparture(server, Departures.Sign.ENTRY_GONE));
+    return gateway.servers().find(id).isEmpty();
   }
 
   @Override
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -7,7 +7,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.CopyPlan;
@@ -19,6 +21,9 @@
 /** Carries out the {@link CopyPlan} of one run and counts its copies as load of their holders. */
 final class RunCopier implements CopyPlan.Engines {
 
+  /** Two round trips between regions (40 ms each, SYSTEM page) and a loaded event loop. */
+  private static final Duration REPORT_WAIT = Duration.ofMillis(100);
+
   private final Gateway gateway;
   private final StructuredLog log;
   private final String attemptId;
@@ -27,6 +32,7 @@
   private final Runnable sourceEnded;
   private final CopyPlan plan = new CopyPlan();
   private Optional<ServerInstance> counted = Optional.empty();
+  private Instant waitsForReportsUntil = Instant.MAX;
   private boolean closed;
 
   RunCopier(StreamExchange exchange, ServerInstance source, Runnable sourceEnded) {
@@ -50,18 +56,44 @@
     return gateway
         .placement()
         .chooseCopy(
-            new Placement.Need(need.service(), need.regions(), need.tokens(), all, need.spread()),
+            new Placement.Need(need.service(), need.regions(), tokensNow(), all, need.spread()),
             source);
   }
 
   void tick(Instant now) {
     boolean leaving = gateway.departures().isLeaving(source.id());
-    plan.next(leaving, this, now).ifPresent(this::copy);
+    if (leaving && !waitsForReports(now)) {
+      plan.next(true, this, now).ifPresent(this::copy);
+    }
+  }
+
+  /** Waits a short time for the reports that are asked for at the notice. */
+  private boolean waitsForReports(Instant now) {
+    if (waitsForReportsUntil.equals(Instant.MAX)) {
+      waitsForReportsUntil = now.plus(REPORT_WAIT);
+    }
+    List<String> others =
+        gateway.servers().usable(need.service().name()).stream()
+            .map(ServerInstance::id)
+            .filter(id -> !gateway.departures().isLeaving(id))
+            .toList();
+    return now.isBefore(waitsForReportsUntil) && !gateway.reports().areKnown(others, now);
+  }
+
+  /** Returns the size of the run as its engine reports it, or what it is expected to need. */
+  private int tokensNow() {
+    return gateway
+        .reports()
+        .runTokens(source.id(), attemptId, gateway.clock().instant())
+        .orElse(need.tokens());
   }
 
   private void copy(ServerInstance target) {
     count(Optional.of(target));
     Instant startedAt = gateway.clock().instant();
+    if (plan.copy().isEmpty()) {
+      gateway.reports().copying(target.id(), tokensNow(), startedAt);
+    }
     gateway
         .engines()
         .copy(source, attemptId, target)
@@ -101,11 +133,18 @@
         event,
         field("server", source.id()),
         field("to", target.id()),
-        field("to_tokens", gateway.loads().total(target.id()).tokens()),
+        field("tokens", tokensNow()),
+        field("to_free", free(target)),
+        field("to_expected", gateway.loads().total(target.id()).tokens()),
         field("result", result),
         field("took_ms", Duration.between(startedAt, gateway.clock().instant()).toMillis()));
   }
 
+  private String free(ServerInstance target) {
+    OptionalInt free = gateway.reports().freeTokens(target.id(), gateway.clock().instant());
+    return free.isPresent() ? Integer.toString(free.getAsInt()) : "unknown";
+  }
+
   private void count(Optional<ServerInstance> holder) {
     counted.ifPresent(before -> gateway.loads().ended(before.id(), need.tokens()));
     counted = closed ? Optional.empty() : holder;
