--- /dev/null
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -0,0 +1,50 @@
+package org.cactusseam.edge.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.cactusseam.edge.peer.PeerCodec;
+import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.model.gateway.StoreRecord;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards the messages between gateways: what one writes the other reads, or rejects. */
+class GatewayMessageCodecTest {
+
+  static Stream<GatewayMessage> messages() {
+    return Stream.of(
+        new GatewayMessage.Loads("vm-1", Map.of("e-1", new LoadBoard.ServerLoad(3, 9_000))),
+        new GatewayMessage.RecordsWanted("vm-1"),
+        new GatewayMessage.Relayed(new StoreRecord("topic", "key", 7, Optional.empty())),
+        new GatewayMessage.Departure("e-1", 1_774_656_687_601L),
+        new GatewayMessage.Received());
+  }
+
+  private static byte[] value(GatewayMessage message) {
+    Buffer frame = GatewayMessageCodec.encode(message);
+    return frame.getBytes(PeerCodec.LENGTH_BYTES, frame.length());
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void a_message_is_read_as_it_was_written(GatewayMessage message) {
+    assertThat(GatewayMessageCodec.decode(value(message)).get(), is(message));
+  }
+
+  /** Guards the event loop against a peer that breaks off, or speaks another version. */
+  @ParameterizedTest
+  @MethodSource("messages")
+  void a_message_that_is_cut_short_is_rejected(GatewayMessage message) {
+    byte[] value = value(message);
+
+    for (int length = 0; length < value.length; length++) {
+      assertThat(GatewayMessageCodec.decode(Arrays.copyOf(value, length)).isFailure(), is(true));
+    }
+  }
+}
