Start copies at the notice of a departure, within the failure domain where there is room

Cause: between the notice and the first call 0.16 s passed for the timer and the reports, of 1.15 s in which an engine copies its runs one after the other; copies to another failure domain take twice as long.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
@@ -26,7 +26,7 @@
   static final Duration REFRESH = Duration.ofMillis(500);
 
   /** Pause after a rejected copy: room at other engines appears when one of their runs ends. */
-  static final Duration RETRY = Duration.ofMillis(100);
+  static final Duration RETRY = Duration.ofMillis(50);
 
   private Optional<Copy> copy = Optional.empty();
   private final Set<String> rejectedBy = new HashSet<>();
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/EngineReports.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/EngineReports.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
-import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
@@ -23,7 +22,7 @@
   static final Duration USABLE = Duration.ofSeconds(1);
 
   /** A report younger than this is not asked for again; engines renew it about as often. */
-  private static final Duration RENEWAL = Duration.ofMillis(300);
+  private static final Duration RENEWAL = Duration.ofMillis(400);
 
   /** Age of a report when it arrives (site files, report_lag_ms). */
   private static final Duration LAG = Duration.ofMillis(500);
@@ -112,17 +111,6 @@
     return tokens.map(OptionalInt::of).orElseGet(OptionalInt::empty);
   }
 
-  /**
-   * Returns whether the reports of all engines are of use.
-   *
-   * @param engineIds engines
-   * @param now time
-   * @return whether none is missing or old
-   */
-  public boolean areKnown(Collection<String> engineIds, Instant now) {
-    return engineIds.stream().allMatch(id -> newest(id, now).isPresent());
-  }
-
   /**
    * Forgets an engine.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -34,7 +34,7 @@
   /**
    * Cost of a copy in another failure domain, in parts of a full server: it takes twice as long.
    */
-  private static final double COPY_OTHER_FAILURE_DOMAIN = 0.45;
+  private static final double COPY_OTHER_FAILURE_DOMAIN = 1;
 
   /**
    * Range of the random part of a copy's cost. All VMs copy the runs of a leaving engine at the
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -140,6 +140,8 @@
     boolean isNew = departures.noticed(server.id(), sign, clock.instant());
     if (isNew) {
       LOG.info("server_leaving", field("server", server.id()), field("how", sign));
+      // The time for copies is shorter than they take together: none of it is left to the timer.
+      vertx.runOnContext(ignored -> active().forEach(each -> each.tick(clock.instant())));
     }
     return isNew;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -21,9 +20,6 @@
 /** Carries out the {@link CopyPlan} of one run and counts its copies as load of their holders. */
 final class RunCopier implements CopyPlan.Engines {
 
-  /** Two round trips between regions (40 ms each, SYSTEM page) and a loaded event loop. */
-  private static final Duration REPORT_WAIT = Duration.ofMillis(100);
-
   private final Gateway gateway;
   private final StructuredLog log;
   private final String attemptId;
@@ -32,7 +28,6 @@
   private final Runnable sourceEnded;
   private final CopyPlan plan = new CopyPlan();
   private Optional<ServerInstance> counted = Optional.empty();
-  private Instant waitsForReportsUntil = Instant.MAX;
   private boolean closed;
 
   RunCopier(StreamExchange exchange, ServerInstance source, Runnable sourceEnded) {
@@ -62,22 +57,7 @@
 
   void tick(Instant now) {
     boolean leaving = gateway.departures().isLeaving(source.id());
-    if (leaving && !waitsForReports(now)) {
-      plan.next(true, this, now).ifPresent(this::copy);
-    }
-  }
-
-  /** Waits a short time for the reports that are asked for at the notice. */
-  private boolean waitsForReports(Instant now) {
-    if (waitsForReportsUntil.equals(Instant.MAX)) {
-      waitsForReportsUntil = now.plus(REPORT_WAIT);
-    }
-    List<String> others =
-        gateway.servers().usable(need.service().name()).stream()
-            .map(ServerInstance::id)
-            .filter(id -> !gateway.departures().isLeaving(id))
-            .toList();
-    return now.isBefore(waitsForReportsUntil) && !gateway.reports().areKnown(others, now);
+    plan.next(leaving, this, now).ifPresent(this::copy);
   }
 
   /** Returns the size of the run as its engine reports it, or what it is expected to need. */
