Keep a stream whose engine refuses new connections

Change: a stream is never ended while events arrive. A silent one whose engine cannot be reached is given up after 1.2 s if it can go on elsewhere, otherwise when its caller has left. This now also holds before the first event, so that a repeatable stream does not wait for a dead engine until its time limit.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
@@ -121,7 +121,7 @@
    */
   public void unanswered(Instant now) {
     inProgress = false;
-    nextCall = now.plus(RETRY);
+    nextCall = now.plus(REFRESH);
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -2,8 +2,6 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
-import io.netty.channel.ConnectTimeoutException;
-import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
@@ -25,18 +23,16 @@
   private final String attemptId;
   private final Placement.Need need;
   private final ServerInstance source;
-  private final Runnable sourceEnded;
   private final CopyPlan plan = new CopyPlan();
   private Optional<ServerInstance> counted = Optional.empty();
   private boolean closed;
 
-  RunCopier(StreamExchange exchange, ServerInstance source, Runnable sourceEnded) {
+  RunCopier(StreamExchange exchange, ServerInstance source) {
     this.gateway = exchange.gateway;
     this.log = exchange.log;
     this.attemptId = exchange.head.attemptId();
     this.need = exchange.need();
     this.source = source;
-    this.sourceEnded = sourceEnded;
   }
 
   @Override
@@ -82,18 +78,9 @@
             cause -> {
               log("copy_unanswered", target, startedAt, String.valueOf(cause.getMessage()));
               plan.unanswered(gateway.clock().instant());
-              if (isRefused(cause)) {
-                // The process has ended, although its stream has not been closed on this side.
-                sourceEnded.run();
-              }
             });
   }
 
-  /** A connection that is not established in time says nothing of the process behind it. */
-  private static boolean isRefused(Throwable cause) {
-    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-  }
-
   private void answered(EngineCalls.CopyResult result, ServerInstance target, Instant startedAt) {
     switch (result) {
       case EngineCalls.CopyResult.Copied copied -> {
@@ -131,6 +118,10 @@
     counted.ifPresent(now -> gateway.loads().started(now.id(), need.tokens()));
   }
 
+  boolean hasUsableCopy() {
+    return plan.copy().filter(copy -> isUsable(copy.holder())).isPresent();
+  }
+
   /** Returns the copy of the run, if there is a complete one. */
   Optional<Copy> copy() {
     return plan.copy()
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -190,6 +190,11 @@
 
   private boolean mayRunAgain(StreamRun run) {
     excluded.add(run.server().id());
+    return mayRunAgain();
+  }
+
+  /** Returns whether the stream can go on elsewhere without a copy of its present run. */
+  boolean mayRunAgain() {
     return route.repetition().isRepeatable()
         && runs < route.maximumRuns()
         && gateway.placement().isServable(need());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -1,11 +1,13 @@
 package org.cactusseam.edge.gateway;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.cactusseam.logic.gateway.StreamSilence;
 import org.cactusseam.model.gateway.Continuation;
 import org.cactusseam.model.gateway.EngineTraits;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -19,12 +21,6 @@
  */
 final class StreamRun {
 
-  /**
-   * Silence after which the server is asked whether it lives. Seven times the longest pause of a
-   * stream on time (SYSTEM page), and below the gap after which callers leave.
-   */
-  static final Duration SILENCE = Duration.ofMillis(1_200);
-
   private final StreamExchange exchange;
   private final Gateway gateway;
   private final ServerInstance server;
@@ -33,18 +29,17 @@
   private final RunCopier copier;
   private @Nullable HttpClientRequest outgoing;
   private @Nullable HttpClientResponse response;
-  private boolean asking;
+  private final StreamSilence silence;
   private boolean over;
-  private Instant heardAt;
 
   StreamRun(StreamExchange exchange, ServerInstance server, Optional<Continuation> continuation) {
     this.exchange = exchange;
     this.gateway = exchange.gateway;
     this.server = server;
     this.continuation = continuation;
-    this.copier = new RunCopier(exchange, server, () -> broken("the server has ended"));
+    this.copier = new RunCopier(exchange, server);
     this.splitter = new EventSplitter(event -> exchange.event(this, event));
-    this.heardAt = gateway.clock().instant();
+    this.silence = new StreamSilence(exchange.route, gateway.clock().instant());
   }
 
   ServerInstance server() {
@@ -100,7 +95,7 @@
     if (over) {
       return;
     }
-    heardAt = gateway.clock().instant();
+    silence.heard(gateway.clock().instant());
     response = answer;
     ServerReply reply =
         gateway
@@ -130,7 +125,7 @@
     } else {
       answer.handler(
           bytes -> {
-            heardAt = gateway.clock().instant();
+            silence.heard(gateway.clock().instant());
             splitter.add(bytes);
           });
       answer.exceptionHandler(cause -> broken(String.valueOf(cause.getMessage())));
@@ -162,13 +157,13 @@
   }
 
   void tick(Instant now) {
-    if (over || response == null) {
+    if (over || outgoing == null) {
       return;
     }
-    if (isCopied()) {
+    if (response != null && isCopied()) {
       copier.tick(now);
     }
-    if (!asking && heardAt.plus(SILENCE).isBefore(now)) {
+    if (silence.tryAsk(now)) {
       askWhetherAlive();
     }
   }
@@ -179,16 +174,23 @@
   }
 
   private void askWhetherAlive() {
-    asking = true;
     gateway
         .engines()
         .report(server)
-        .onSuccess(
-            report -> {
-              asking = false;
-              heardAt = gateway.clock().instant();
-            })
-        .onFailure(cause -> broken("silent and does not answer: " + cause.getMessage()));
+        .onFailure(
+            cause -> {
+              boolean canContinue = copier.hasUsableCopy() || exchange.mayRunAgain();
+              boolean ended = silence.isEnded(canContinue, gateway.clock().instant());
+              exchange.log.info(
+                  "stream_silent",
+                  field("server", server.id()),
+                  field("cause", cause.getMessage()),
+                  field("can_continue", canContinue),
+                  field("given_up", ended));
+              if (ended) {
+                broken("silent and does not answer: " + cause.getMessage());
+              }
+            });
   }
 
   void pause() {
