Copy runs within their region only

Cause: 7 of 85 copies between regions were complete before their engine ended (2.3 s at the median, 11 logged plays of both sites), and the copies of the engine's other runs waited behind them or were refused (167 refusals). Ruled out: room at the targets (engines with 20,000 to 28,000 free tokens refused), a limit on the number of copies (7 were accepted at one engine). PlacementTest: a copy has no other region to go to; the case of engines without room now lists one of the region.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -179,7 +179,9 @@
 
   /**
    * Chooses a server that takes over a run from another one, by the room that engines report. A
-   * server without a report of use is chosen by the loads of the VMs.
+   * server without a report of use is chosen by the loads of the VMs. Servers of other regions are
+   * not chosen: such a copy takes 2 s and more, longer than the notice, and all others wait behind
+   * it.
    *
    * @param need what the run needs; its tokens are those in memory now
    * @param source server of the run
@@ -189,6 +191,7 @@
     Instant now = clock.instant();
     return servers.usable(need.service().name()).stream()
         .filter(server -> !server.id().equals(source.id()))
+        .filter(server -> isSameRegion(server, source))
         .filter(server -> isAllowed(need, server))
         .filter(server -> hasRoomForCopy(need, server, now))
         .filter(server -> !health.isSuspended(server.id(), now))
@@ -233,6 +236,10 @@
         || load.tokens() + need.tokens() <= MEMORY_PART * memory.getAsInt();
   }
 
+  private boolean isSameRegion(ServerInstance one, ServerInstance other) {
+    return location.regionOf(one.failureDomain()).equals(location.regionOf(other.failureDomain()));
+  }
+
   private boolean hasRoomForCopy(Need need, ServerInstance server, Instant now) {
     OptionalInt free = reports.freeTokens(server.id(), now);
     return free.isPresent()
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
@@ -134,9 +134,22 @@
         is(Optional.of(third)));
   }
 
+  /**
+   * Guards the copies behind it: 7 of 85 copies between regions were complete in time on the
+   * platform, and the engine refused or delayed those of its other runs meanwhile.
+   */
+  @Test
+  void no_copy_goes_to_another_region() {
+    reports.put("far", GatewayFixtures.report(0), clock.instant());
+
+    assertThat(
+        placement.chooseCopy(need(GatewayFixtures.ENGINES, LETTER, 0), near), is(Optional.empty()));
+  }
+
   @Test
   void no_copy_is_sent_to_engines_without_room() {
-    reports.put("far", GatewayFixtures.report(27_000), clock.instant());
+    servers.put(GatewayFixtures.server("third", "engines", "ost-graz"), Instant.EPOCH);
+    reports.put("third", GatewayFixtures.report(27_000), clock.instant());
 
     assertThat(
         placement.chooseCopy(need(GatewayFixtures.ENGINES, LETTER, 0), near), is(Optional.empty()));
