Count prompts that wait to be read in the load of an engine

Cause: an engine reads the prompts of its requests one after the other, and tags end right after their first event. Ruled out: waiting at the gateway (sent at age 0), a lack of memory.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LoadBoard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LoadBoard.java
@@ -23,14 +23,16 @@
    *
    * @param runs requests
    * @param tokens memory that they are expected to need, copies included
+   * @param unreadTokens prompt tokens of the runs that have no first event yet
    */
-  public record ServerLoad(int runs, int tokens) {
+  public record ServerLoad(int runs, int tokens, int unreadTokens) {
 
     /** No load. */
-    public static final ServerLoad NONE = new ServerLoad(0, 0);
+    public static final ServerLoad NONE = new ServerLoad(0, 0, 0);
 
-    ServerLoad plus(int moreRuns, int moreTokens) {
-      return new ServerLoad(runs + moreRuns, tokens + moreTokens);
+    ServerLoad plus(ServerLoad more) {
+      return new ServerLoad(
+          runs + more.runs(), tokens + more.tokens(), unreadTokens + more.unreadTokens());
     }
   }
 
@@ -43,7 +45,27 @@
    * @param tokens memory that it is expected to need
    */
   public void started(String serverId, int tokens) {
-    own.merge(serverId, new ServerLoad(1, tokens), (known, added) -> known.plus(1, tokens));
+    own.merge(serverId, new ServerLoad(1, tokens, 0), ServerLoad::plus);
+  }
+
+  /**
+   * Counts a prompt that a server has to read, after {@link #started}.
+   *
+   * @param serverId server
+   * @param tokens its length
+   */
+  public void promptSent(String serverId, int tokens) {
+    own.merge(serverId, new ServerLoad(0, 0, tokens), ServerLoad::plus);
+  }
+
+  /**
+   * Ends what {@link #promptSent} counted, before {@link #ended}.
+   *
+   * @param serverId server
+   * @param tokens its length
+   */
+  public void promptRead(String serverId, int tokens) {
+    own.computeIfPresent(serverId, (id, load) -> load.plus(new ServerLoad(0, 0, -tokens)));
   }
 
   /**
@@ -53,7 +75,8 @@
    * @param tokens the same number as at the start
    */
   public void ended(String serverId, int tokens) {
-    ServerLoad left = own.getOrDefault(serverId, ServerLoad.NONE).plus(-1, -tokens);
+    ServerLoad left =
+        own.getOrDefault(serverId, ServerLoad.NONE).plus(new ServerLoad(-1, -tokens, 0));
     if (left.runs() <= 0) {
       own.remove(serverId);
     } else {
@@ -99,8 +122,7 @@
   public ServerLoad total(String serverId) {
     ServerLoad total = own.getOrDefault(serverId, ServerLoad.NONE);
     for (PeerLoads peer : peers.values()) {
-      ServerLoad more = peer.loads().getOrDefault(serverId, ServerLoad.NONE);
-      total = total.plus(more.runs(), more.tokens());
+      total = total.plus(peer.loads().getOrDefault(serverId, ServerLoad.NONE));
     }
     return total;
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -13,9 +13,10 @@
 import org.cactusseam.model.gateway.ServerInstance;
 
 /**
- * Chooses the backend server of a request. Answers two load patterns: many requests at once, which
- * must not all go to the server that seemed idle last, and a few very long ones, which fill the
- * memory of an engine long before its slots are taken.
+ * Chooses the backend server of a request. Answers three load patterns: many requests at once,
+ * which must not all go to the server that seemed idle last; a few very long ones, which fill the
+ * memory of an engine long before its slots are taken; and many short ones, which leave an engine
+ * so fast that it seems idle while their prompts wait for each other to be read.
  */
 public final class Placement {
 
@@ -56,6 +57,12 @@
    */
   private static final double WARMING_UP = 0.4;
 
+  /**
+   * Prompt tokens whose reading costs as much as a full server. Engines read 112 tokens of prompts
+   * in a step of 15 ms and more (site files), so that these take a target latency of 1.5 s.
+   */
+  private static final double UNREAD_TOKENS = 9_000;
+
   private final Clock clock;
   private final Location location;
   private final ServerTable servers;
@@ -282,8 +289,14 @@
     OptionalInt memory = memory(need.service());
     double tokens =
         memory.isPresent() ? (usedTokens + need.tokens()) / (double) memory.getAsInt() : 0;
+    double unread = loads.total(server.id()).unreadTokens() / UNREAD_TOKENS;
     double warmUp = servers.isWarmingUp(server.id(), clock.instant()) ? WARMING_UP : 0;
-    return runs + tokens + warmUp + distance(server) + FAILURES * health.failureShare(server.id());
+    return runs
+        + tokens
+        + unread
+        + warmUp
+        + distance(server)
+        + FAILURES * health.failureShare(server.id());
   }
 
   private double copyCost(Need need, ServerInstance server, ServerInstance source) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
@@ -82,11 +82,33 @@
 
   @Test
   void what_other_vms_have_placed_counts() {
-    loads.peerLoads("vm-2", Map.of("near", new LoadBoard.ServerLoad(6, 26_000)), clock.instant());
+    loads.peerLoads(
+        "vm-2", Map.of("near", new LoadBoard.ServerLoad(6, 26_000, 0)), clock.instant());
 
     assertThat(choose(LETTER), is(Optional.of("far")));
   }
 
+  /**
+   * Replays tags that all went to one engine: each left it so fast that it seemed the least loaded,
+   * while their prompts queued and their first events came after up to 3.3 s.
+   */
+  @Test
+  void prompts_that_wait_to_be_read_send_new_requests_elsewhere() {
+    ServerInstance third = GatewayFixtures.server("third", "engines", "ost-wien");
+    servers.put(third, Instant.EPOCH);
+    loads.started("third", 12_000);
+    for (int run = 0; run < 3; run++) {
+      loads.started("near", 2_300);
+      loads.promptSent("near", 2_200);
+    }
+
+    assertThat(choose(2_300), is(Optional.of("third")));
+    for (int run = 0; run < 3; run++) {
+      loads.promptRead("near", 2_200);
+    }
+    assertThat(choose(2_300), is(Optional.of("near")));
+  }
+
   @Test
   void a_suspended_server_is_chosen_again_when_its_time_is_over() {
     health.unreachable("near", clock.instant());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -176,6 +176,10 @@
     return head.demand().map(GenerationDemand::expectedTokens).orElse(0);
   }
 
+  final int promptTokens() {
+    return head.demand().map(GenerationDemand::promptTokens).orElse(0);
+  }
+
   final int rank() {
     return account.map(GatewayAccount::rank).orElse(OptionalInt.empty()).orElse(route.rank());
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -58,7 +58,8 @@
       packer
           .packString(load.getKey())
           .packInt(load.getValue().runs())
-          .packInt(load.getValue().tokens());
+          .packInt(load.getValue().tokens())
+          .packInt(load.getValue().unreadTokens());
     }
   }
 
@@ -104,7 +105,8 @@
     for (int index = 0; index < number; index++) {
       loads.put(
           unpacker.unpackString(),
-          new LoadBoard.ServerLoad(unpacker.unpackInt(), unpacker.unpackInt()));
+          new LoadBoard.ServerLoad(
+              unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()));
     }
     return new GatewayMessage.Loads(node, loads);
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -31,6 +31,7 @@
   private @Nullable HttpClientResponse response;
   private final StreamSilence silence;
   private boolean over;
+  private int unreadTokens;
 
   StreamRun(StreamExchange exchange, ServerInstance server, Optional<Continuation> continuation) {
     this.exchange = exchange;
@@ -38,7 +39,7 @@
     this.server = server;
     this.continuation = continuation;
     this.copier = new RunCopier(exchange, server);
-    this.splitter = new EventSplitter(event -> exchange.event(this, event));
+    this.splitter = new EventSplitter(this::event);
     this.silence = new StreamSilence(exchange.route, gateway.clock().instant());
   }
 
@@ -56,8 +57,22 @@
         : gateway.translation().answerHeaders(response.headers());
   }
 
+  private void event(EventSplitter.Event event) {
+    promptRead();
+    exchange.event(this, event);
+  }
+
+  private void promptRead() {
+    gateway.loads().promptRead(server.id(), unreadTokens);
+    unreadTokens = 0;
+  }
+
   void start() {
     gateway.loads().started(server.id(), exchange.tokens());
+    if (continuation.isEmpty()) {
+      unreadTokens = exchange.promptTokens();
+      gateway.loads().promptSent(server.id(), unreadTokens);
+    }
     gateway
         .client()
         .request(
@@ -218,6 +233,7 @@
       return;
     }
     over = true;
+    promptRead();
     gateway.loads().ended(server.id(), exchange.tokens());
     copier.close();
     gateway.vertx().runOnContext(ignored -> gateway.offerPlaces());
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -19,7 +19,7 @@
 
   static Stream<GatewayMessage> messages() {
     return Stream.of(
-        new GatewayMessage.Loads("vm-1", Map.of("e-1", new LoadBoard.ServerLoad(3, 9_000))),
+        new GatewayMessage.Loads("vm-1", Map.of("e-1", new LoadBoard.ServerLoad(3, 9_000, 2_200))),
         new GatewayMessage.RecordsWanted("vm-1"),
         new GatewayMessage.Relayed(new StoreRecord("topic", "key", 7, Optional.empty())),
         new GatewayMessage.Departure("e-1", 1_774_656_687_601L),
