--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/logging/BoundedLog.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/logging/BoundedLog.java
@@ -49,6 +49,9 @@
         "vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.JULLogDelegateFactory");
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     LogManager.getLogManager().reset();
+    // Set after the runtime's own logging has started: it only keeps the library from looking for
+    // settings beside its classes, which fails where they are on the boot class path.
+    System.setProperty("java.util.logging.config.file", "");
     BoundedLog handler = new BoundedLog(new FileOutputStream(FileDescriptor.out));
     Logger root = Logger.getLogger("");
     root.addHandler(handler);
