--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -1,7 +1,6 @@
 package org.cactusseam.edge.caller;
 
 import io.vertx.core.Context;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -147,10 +146,14 @@
         Headers.PRIORITY,
         Integer.toString(services.view().get().rankOf(info.account().priorityClass())));
     request.putHeader(Headers.FENCING_NUMBER, Long.toString(attempt.permit().epoch()));
-    Future<HttpClientResponse> response = request.send(Objects.requireNonNull(body));
-    response
+    request
+        .response()
         .onSuccess(head -> head(attempt, head))
         .onFailure(cause -> brokenBeforeHead(attempt, cause));
+    request
+        .end(Objects.requireNonNull(body))
+        .onSuccess(
+            written -> journal.written(attempt.server().name().value(), attempt.validUntil()));
   }
 
   private static String streamOf(AttemptLoop.Attempt attempt) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
@@ -157,9 +157,13 @@
     outgoing.putHeader(Headers.REQUEST, info.id());
     outgoing.putHeader(Headers.FENCING_NUMBER, Long.toString(attempt.permit().epoch()));
     outgoing
-        .send(body)
+        .response()
         .onSuccess(response -> head(attempt, response))
         .onFailure(cause -> broken(attempt, "the backend server did not answer"));
+    outgoing
+        .end(body)
+        .onSuccess(
+            written -> journal.written(attempt.server().name().value(), attempt.validUntil()));
   }
 
   private void head(AttemptLoop.Attempt attempt, HttpClientResponse response) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/RequestJournal.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/RequestJournal.java
@@ -4,6 +4,7 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.metrics.RequestMetrics;
 import org.cactusseam.edge.metrics.RequestRecorder;
@@ -41,6 +42,20 @@
     log.debug("attempt_sent", field("server", server));
   }
 
+  /**
+   * The request has been written to the connection. A process that is paused between its last look
+   * at the permit and that write sends late, which it can see only afterwards.
+   */
+  void written(String server, Instant validUntil) {
+    Instant now = clock.instant();
+    if (now.isAfter(validUntil)) {
+      log.warn(
+          "request_sent_late",
+          field("server", server),
+          field("permit_expired_ms", Duration.between(validUntil, now).toMillis()));
+    }
+  }
+
   void token() {
     long sinceArrival = Duration.between(info.arrival(), clock.instant()).toNanos();
     if (previousTokenNanos == NO_TOKEN) {
