Copy a run again when the holder of its copy reports that it leaves

Cause, found by reading: a holder counted as usable until its entry in the store announced the departure. One that was known to leave only by its report, as all are while the store is away, stayed the target of updates, and the run ended with it.

The plan now asks for another engine and keeps the copy of the leaving one until that has succeeded, so a run never has less than before. Ruled out: dropping the copy at the report; without room elsewhere the stream would be lost although its holder may outlive the first engine.

CopyPlanTest has both cases; without the new condition the first fails.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/CopyPlan.java
@@ -48,10 +48,18 @@
      * Returns whether an engine may receive requests.
      *
      * @param engine engine
-     * @return whether it is listed and does not leave
+     * @return whether it is listed and has not announced that it leaves
      */
     boolean isUsable(ServerInstance engine);
 
+    /**
+     * Returns whether an engine leaves.
+     *
+     * @param engine engine
+     * @return whether it has said so, in its entry or in a report
+     */
+    boolean isLeaving(ServerInstance engine);
+
     /**
      * Chooses an engine with room.
      *
@@ -76,7 +84,9 @@
       return Optional.empty();
     }
     Optional<ServerInstance> target =
-        copy.map(Copy::holder).or(() -> engines.choose(Set.copyOf(rejectedBy)));
+        copy.map(Copy::holder)
+            .filter(holder -> !engines.isLeaving(holder))
+            .or(() -> engines.choose(excluded()));
     if (target.isEmpty()) {
       rejectedBy.clear();
     }
@@ -84,6 +94,13 @@
     return target;
   }
 
+  /** A holder that leaves keeps its copy as long as no other engine has one. */
+  private Set<String> excluded() {
+    Set<String> excluded = new HashSet<>(rejectedBy);
+    copy.ifPresent(held -> excluded.add(held.holder().id()));
+    return excluded;
+  }
+
   /**
    * A copy is complete.
    *
@@ -106,7 +123,7 @@
    */
   public void rejected(ServerInstance target, Instant now) {
     inProgress = false;
-    if (copy.isPresent()) {
+    if (copy.filter(held -> held.holder().id().equals(target.id())).isPresent()) {
       nextCall = now.plus(REFRESH);
     } else {
       rejectedBy.add(target.id());
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/CopyPlanTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/CopyPlanTest.java
@@ -24,16 +24,23 @@
 
   private final class FakeEngines implements CopyPlan.Engines {
     private final Set<String> gone = new HashSet<>();
+    private final Set<String> leaving = new HashSet<>();
 
     @Override
     public boolean isUsable(ServerInstance engine) {
       return !gone.contains(engine.id());
     }
 
+    @Override
+    public boolean isLeaving(ServerInstance engine) {
+      return leaving.contains(engine.id());
+    }
+
     @Override
     public Optional<ServerInstance> choose(Set<String> excluded) {
       return List.of(first, second).stream()
           .filter(this::isUsable)
+          .filter(engine -> !isLeaving(engine))
           .filter(engine -> !excluded.contains(engine.id()))
           .findFirst();
     }
@@ -63,6 +70,31 @@
     assertThat(next(true, CopyPlan.REFRESH), is(Optional.of(first)));
   }
 
+  /** Guards against two reclaimed engines in a row, the second one known by its report only. */
+  @Test
+  void a_copy_at_an_engine_that_leaves_as_well_is_made_again_elsewhere() {
+    next(true, Duration.ZERO);
+    plan.copied(first, "handle", START);
+    engines.leaving.add("first");
+
+    assertThat(next(true, CopyPlan.REFRESH), is(Optional.of(second)));
+    plan.copied(second, "newer", START.plus(CopyPlan.REFRESH));
+    assertThat(plan.copy(), is(Optional.of(new CopyPlan.Copy(second, "newer"))));
+  }
+
+  @Test
+  void a_copy_at_an_engine_that_leaves_is_kept_while_no_other_one_has_room() {
+    next(true, Duration.ZERO);
+    plan.copied(first, "handle", START);
+    engines.leaving.add("first");
+    next(true, CopyPlan.REFRESH);
+    plan.rejected(second, START.plus(CopyPlan.REFRESH));
+
+    assertThat(plan.copy(), is(Optional.of(new CopyPlan.Copy(first, "handle"))));
+    assertThat(next(true, CopyPlan.REFRESH.plus(CopyPlan.RETRY)), is(Optional.empty()));
+    assertThat(next(true, CopyPlan.REFRESH.plus(CopyPlan.RETRY)), is(Optional.of(second)));
+  }
+
   @Test
   void a_rejected_copy_goes_to_another_engine() {
     next(true, Duration.ZERO);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RunCopier.java
@@ -40,6 +40,11 @@
     return gateway.servers().isUsable(engine);
   }
 
+  @Override
+  public boolean isLeaving(ServerInstance engine) {
+    return gateway.departures().isLeaving(engine.id());
+  }
+
   @Override
   public Optional<ServerInstance> choose(Set<String> excluded) {
     Set<String> all = new HashSet<>(excluded);
@@ -52,8 +57,7 @@
   }
 
   void tick(Instant now) {
-    boolean leaving = gateway.departures().isLeaving(source.id());
-    plan.next(leaving, this, now).ifPresent(this::copy);
+    plan.next(isLeaving(source), this, now).ifPresent(this::copy);
   }
 
   /** Returns the size of the run as its engine reports it, or what it is expected to need. */
