Share the reads of the store between the gateways, and drop the shares of those that left

The pause and the wait now grow with the number of connected gateways, up to the bound on changes less one read that fails (2.7 s at 4 s; sites with 2.5 s keep 1.2 and 1.5 s). For that a new server is told to all at once, as one that leaves was before. Gateways that cannot be reached for 60 s no longer count in the shares of common limits; before they counted for ever.

Ruled out: a few elected readers with proofs of freshness for the others. It saves more calls, but each gateway would depend on clocks and links of others for the bound.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
@@ -25,8 +25,9 @@
    * The entry of a server was read.
    *
    * @param server server
+   * @return whether it was not known, or its process has started again
    */
-  void server(ServerInstance server);
+  boolean server(ServerInstance server);
 
   /**
    * The entry of a server is gone.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeerLink.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeerLink.java
@@ -11,6 +11,7 @@
 import java.time.Instant;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.FrameReader;
+import org.cactusseam.logic.gateway.PeerPresence;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -33,16 +34,25 @@
   private final Clock clock;
   private final NetClient client;
   private final String node;
+  private final PeerPresence presence;
   private final String host;
   private final int port;
   private @Nullable NetSocket open;
   private Instant heardAt;
   private boolean stopped;
 
-  GatewayPeerLink(Vertx vertx, Clock clock, NetClient client, String node, String host, int port) {
+  GatewayPeerLink(
+      Vertx vertx,
+      Clock clock,
+      NetClient client,
+      PeerPresence presence,
+      String node,
+      String host,
+      int port) {
     this.vertx = vertx;
     this.clock = clock;
     this.client = client;
+    this.presence = presence;
     this.node = node;
     this.host = host;
     this.port = port;
@@ -65,7 +75,13 @@
 
   void stop() {
     stopped = true;
-    close();
+    NetSocket socket = open;
+    if (socket != null) {
+      // Before its close handler runs, which could come after the next link has connected.
+      open = null;
+      presence.lost(node, clock.instant());
+      socket.close();
+    }
   }
 
   private void connected(NetSocket socket) {
@@ -74,6 +90,7 @@
       return;
     }
     open = socket;
+    presence.connected(node);
     heardAt = clock.instant();
     socket.setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
     socket.exceptionHandler(cause -> socket.close());
@@ -82,6 +99,7 @@
         closed -> {
           if (open == socket) {
             open = null;
+            presence.lost(node, clock.instant());
             LOG.info("peer_lost", field("peer", node));
             retry();
           }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -21,6 +21,7 @@
 import org.cactusseam.logic.gateway.Departures;
 import org.cactusseam.logic.gateway.LoadBoard;
 import org.cactusseam.logic.gateway.LoadNews;
+import org.cactusseam.logic.gateway.PeerPresence;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.gateway.StoreRecord;
 
@@ -53,6 +54,7 @@
   private final Map<String, GatewayPeerLink> links = new TreeMap<>();
   private final Map<String, Instant> subscribers = new HashMap<>();
   private final LoadNews news = new LoadNews();
+  private final PeerPresence presence = new PeerPresence();
   private Instant wantedAt = Instant.MIN;
   private int wantedFrom;
 
@@ -94,13 +96,15 @@
       known.stop();
     }
     GatewayPeerLink link =
-        new GatewayPeerLink(gateway.vertx(), gateway.clock(), client, node, host, port);
+        new GatewayPeerLink(gateway.vertx(), gateway.clock(), client, presence, node, host, port);
     links.put(node, link);
-    gateway.vms(links.size() + 1);
+    presence.found(node, gateway.clock().instant());
     link.dial();
   }
 
   void tick(Instant now) {
+    gateway.vms(presence.sharing(now) + 1);
+    relay.gateways(presence.connectedCount() + 1);
     sendLoads(now);
     subscribers.values().removeIf(until -> until.isBefore(now));
     if (relay.isStoreAway() && wantedAt.plus(WANTED_INTERVAL).isBefore(now)) {
@@ -111,8 +115,9 @@
 
   private void sendLoads(Instant now) {
     Map<String, LoadBoard.ServerLoad> loads = gateway.loads().own();
-    if (news.isDue(loads, links.size(), now)) {
-      news.told(loads, links.size(), now);
+    int others = presence.connectedCount();
+    if (news.isDue(loads, others, now)) {
+      news.told(loads, others, now);
       Buffer frame =
           GatewayMessageCodec.encode(new GatewayMessage.Loads(gateway.settings().node(), loads));
       links.values().forEach(link -> link.send(frame));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -112,8 +112,9 @@
   }
 
   @Override
-  public void server(ServerInstance instance) {
-    if (gateway.servers().put(instance, gateway.clock().instant())) {
+  public boolean server(ServerInstance instance) {
+    boolean isNew = gateway.servers().put(instance, gateway.clock().instant());
+    if (isNew) {
       gateway.startedAgain(instance);
       LOG.info(
           "server_listed",
@@ -126,6 +127,7 @@
     } else {
       gateway.departures().listedAsReady(instance.id(), gateway.clock().instant());
     }
+    return isNew;
   }
 
   @Override
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordRelay.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordRelay.java
@@ -30,6 +30,13 @@
    */
   boolean isStoreAway();
 
+  /**
+   * Sets how many gateways tell each other what they read.
+   *
+   * @param number number of connected gateways, this one included
+   */
+  void gateways(int number);
+
   /**
    * Sets the receiver of records that this gateway reads itself.
    *
