Close idle connections of callers by the limit of the configuration

Cause, found by reading: the port for callers closed connections after a constant 25 s. A configuration that lets callers stay idle for longer than 31 s would have had connections closed that callers were about to use; one with a shorter limit left them open for 25 s.

HTTP/2 without TLS is switched off on this port: it is not part of the interface, and the server saw no connection before its first bytes because of it. The test of a connection without any request failed for that reason at first.

GatewayServingTest: closed within 8 s at a limit of 1 s (25 s before). IdleTimesTest has the limits and overlapping requests.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -19,6 +19,9 @@
   /** Short against the notice of a reclaimed engine, 1.5 s. */
   private static final long TICK_MILLIS = 50;
 
+  /** Short against the time for which callers may stay idle, some seconds and more. */
+  private static final Duration IDLE_CHECK = Duration.ofSeconds(1);
+
   /**
    * Time for which a leaving gateway still takes what the balancer sends: the balancer asks once a
    * second and takes a gateway out after two misses.
@@ -31,6 +34,7 @@
   private final GatewayPeers peers;
   private final ReportPoller reports;
   private final Runnable exit;
+  private Instant idleCheckedAt = Instant.EPOCH;
   private boolean closing;
 
   /**
@@ -68,6 +72,10 @@
     gateway.loads().tick(now);
     gateway.placement().tick();
     peers.tick(now);
+    if (idleCheckedAt.plus(IDLE_CHECK).isBefore(now)) {
+      idleCheckedAt = now;
+      server.tick(now);
+    }
     reports.tick(relay.isStoreAway(), now);
     gateway.active().forEach(exchange -> exchange.tick(now));
     gateway.offerPlaces();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -5,14 +5,17 @@
 import io.vavr.control.Either;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.DrainPolicy;
+import org.cactusseam.logic.gateway.IdleTimes;
 import org.cactusseam.logic.gateway.RouteDecision;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayRoute;
@@ -27,10 +30,10 @@
   private static final int LONGEST_HEADER_BYTES = 32 << 10;
 
   /**
-   * Callers reuse a connection after up to four fifths of the configured limit, 15 s; a longer
-   * timeout never closes one that a request is about to use.
+   * Connections on which nothing moves at all, also within a request: longer than any time limit of
+   * a route (site files) and any idle time that callers are allowed.
    */
-  private static final int IDLE_TIMEOUT_SECONDS = 25;
+  private static final int STALLED_SECONDS = 120;
 
   private static final int BACKLOG = 1_024;
   private static final int STATUS_OK = 200;
@@ -48,6 +51,7 @@
   private final HttpServer callers;
   private final HttpServer readiness;
   private final HttpServer metrics;
+  private final IdleTimes<HttpConnection> idleTimes = new IdleTimes<>();
 
   GatewayServer(Gateway gateway) {
     this.gateway = gateway;
@@ -57,9 +61,15 @@
             .setAcceptBacklog(BACKLOG)
             .setMaxHeaderSize(LONGEST_HEADER_BYTES)
             .setMaxInitialLineLength(LONGEST_HEADER_BYTES)
+            .setHttp2ClearTextEnabled(false)
             .setHandle100ContinueAutomatically(true)
-            .setIdleTimeout(IDLE_TIMEOUT_SECONDS);
-    this.callers = gateway.vertx().createHttpServer(options).requestHandler(this::receive);
+            .setIdleTimeout(STALLED_SECONDS);
+    this.callers =
+        gateway
+            .vertx()
+            .createHttpServer(options)
+            .connectionHandler(this::connected)
+            .requestHandler(this::receive);
     this.readiness = gateway.vertx().createHttpServer().requestHandler(this::answerReadiness);
     this.metrics = gateway.vertx().createHttpServer().requestHandler(this::answerMetrics);
   }
@@ -78,6 +88,20 @@
     return callers.close();
   }
 
+  /** Closes the connections that callers have left idle for too long. */
+  void tick(Instant now) {
+    Duration limit = gateway.routes().limits().idleTimeout();
+    for (HttpConnection connection : idleTimes.expired(limit, now)) {
+      LOG.debug("idle_connection_closed", field("remote", connection.remoteAddress()));
+      connection.close();
+    }
+  }
+
+  private void connected(HttpConnection connection) {
+    idleTimes.opened(connection, gateway.clock().instant());
+    connection.closeHandler(closed -> idleTimes.closed(connection));
+  }
+
   private void answerReadiness(HttpServerRequest request) {
     boolean ready = gateway.isReady() && request.path().equals(gateway.settings().readinessPath());
     request.response().setStatusCode(ready ? STATUS_OK : STATUS_UNAVAILABLE).end();
@@ -92,6 +116,11 @@
 
   private void receive(HttpServerRequest request) {
     Instant receivedAt = gateway.clock().instant();
+    HttpConnection connection = request.connection();
+    idleTimes.requestStarted(connection);
+    request
+        .response()
+        .endHandler(ended -> idleTimes.requestEnded(connection, gateway.clock().instant()));
     BodyReader reader = new BodyReader(request, gateway.routes().limits().bodyBytes());
     reader
         .read()
