Explain a request from the logs of several processes

cactusseam explain ID FILE... puts the lines of one request in order and tells with each decision how old the view behind it was: configuration, server, store. Clocks are corrected by the configurations that all processes log, if they differ by more than a change takes to spread.

--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/explain/package-info.java
@@ -0,0 +1,5 @@
+/** Explains the course of one request from the log lines of several processes. */
+@NullMarked
+package org.cactusseam.logic.explain;
+
+import org.jspecify.annotations.NullMarked;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/Main.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/Main.java
@@ -44,6 +44,7 @@
                 new OrderCommand(),
                 new CallCommand(),
                 new ReplayCommand(new PolicyReplay()),
+                new ExplainCommand(),
                 new VersionCommand()));
     ExitCode code = main.run(arguments, new Terminal(System.out, System.err));
     System.exit(code.number());
