Offer long records to the other gateways instead of sending them

Cause: each gateway sent each change of the configuration, about 20 KB, to all others, although all read it within milliseconds by their own long polls: 65 x 64 copies.

Now a record over 2 KB is offered, and fetched by who has not read it 200 ms later; a gateway that is turned away keeps the peer that answers, of its own region if there is one. The region stands in the gateways' entries in the store.

Ruled out: offers from three gateways of a region only (a test with two readers failed; they may be turned away themselves).

RecordExchangeTest replays 65 gateways: 42.3 MB between the regions for one change with whole records, under 0.5 MB now.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -91,7 +91,13 @@
       return Optional.ofNullable(regions.get(otherDomain));
     }
 
-    boolean isOwnRegion(String otherDomain) {
+    /**
+     * Returns whether a failure domain belongs to the own region.
+     *
+     * @param otherDomain failure domain
+     * @return whether it does; an unknown one does not
+     */
+    public boolean isOwnRegion(String otherDomain) {
       return regionOf(otherDomain).equals(regionOf(failureDomain));
     }
   }
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/RecordOffersTest.java
@@ -0,0 +1,84 @@
+package org.cactusseam.logic.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.cactusseam.logic.gateway.RecordOffers.Fetch;
+import org.cactusseam.logic.gateway.RecordOffers.Offered;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a change that travels once for each pair of gateways, and against a lost one. */
+class RecordOffersTest {
+
+  private static final Offered CHANGE = new Offered("operator", "config", 7);
+
+  private final RecordOffers offers = new RecordOffers();
+  private final Set<Offered> known = new HashSet<>();
+
+  private void offered(String node, Offered offered, long atMillis) {
+    offers.offered(node, offered, Instant.ofEpochMilli(atMillis));
+  }
+
+  private List<Fetch> due(long atMillis) {
+    return offers.due(known::contains, Instant.ofEpochMilli(atMillis));
+  }
+
+  private static List<Fetch> from(String node) {
+    return List.of(new Fetch(node, "operator", "config"));
+  }
+
+  /** All gateways of the grown deployments read a change within some milliseconds. */
+  @Test
+  void a_record_that_the_gateway_reads_itself_is_not_fetched() {
+    for (int number = 0; number < 64; number++) {
+      offered("vm-" + number, CHANGE, 0);
+    }
+    assertThat(due(199), is(List.of()));
+    known.add(CHANGE);
+
+    assertThat(due(10_000), is(List.of()));
+  }
+
+  @Test
+  void a_record_that_the_gateway_lacks_is_fetched_once() {
+    offered("vm-2", CHANGE, 0);
+    offered("vm-3", CHANGE, 1);
+
+    assertThat(due(200), is(from("vm-2")));
+    assertThat(due(599), is(List.of()));
+  }
+
+  /** The gateway that offered it may be dead, frozen or behind a cut by now. */
+  @Test
+  void without_an_answer_the_next_gateway_is_asked() {
+    offered("vm-2", CHANGE, 0);
+    offered("vm-3", CHANGE, 1);
+    due(200);
+
+    assertThat(due(600), is(from("vm-3")));
+    assertThat(due(1_000), is(List.of()));
+  }
+
+  @Test
+  void a_newer_record_replaces_the_offers_of_the_older_one() {
+    offered("vm-2", CHANGE, 0);
+    offered("vm-3", new Offered("operator", "config", 9), 50);
+    offered("vm-4", CHANGE, 60);
+
+    List<Fetch> fetched = new ArrayList<>(due(250));
+    fetched.addAll(due(650));
+    assertThat(fetched, is(from("vm-3")));
+  }
+
+  @Test
+  void an_offer_that_nobody_answers_is_forgotten() {
+    offered("vm-2", CHANGE, 0);
+
+    assertThat(due(10_001), is(List.of()));
+  }
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ControlFeed.java
@@ -46,6 +46,7 @@
    * @param node its name
    * @param host IP address
    * @param port port for other gateways
+   * @param failureDomain where it stands
    */
-  void peer(String node, String host, int port);
+  void peer(String node, String host, int port, String failureDomain);
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -22,6 +22,33 @@
    */
   record RecordsWanted(String node) implements GatewayMessage {}
 
+  /**
+   * Answer to {@link RecordsWanted}: this gateway passes on what it reads.
+   *
+   * @param node gateway that reads the store
+   */
+  record RecordsFollow(String node) implements GatewayMessage {}
+
+  /**
+   * A gateway has read a long record, which others may have read as well.
+   *
+   * @param node gateway
+   * @param topic topic
+   * @param key key
+   * @param offset position in the topic
+   */
+  record RecordOffered(String node, String topic, String key, long offset)
+      implements GatewayMessage {}
+
+  /**
+   * A gateway asks for a record that was offered.
+   *
+   * @param node gateway that lacks it
+   * @param topic topic
+   * @param key key
+   */
+  record RecordFetch(String node, String topic, String key) implements GatewayMessage {}
+
   /**
    * A record of the store.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -25,6 +25,9 @@
   private static final int RELAYED = 3;
   private static final int RECEIVED = 4;
   private static final int DEPARTURE = 5;
+  private static final int RECORDS_FOLLOW = 6;
+  private static final int RECORD_OFFERED = 7;
+  private static final int RECORD_FETCH = 8;
 
   private GatewayMessageCodec() {}
 
@@ -34,6 +37,21 @@
         case GatewayMessage.Loads loads -> write(packer, loads);
         case GatewayMessage.RecordsWanted wanted ->
             packer.packInt(RECORDS_WANTED).packString(wanted.node());
+        case GatewayMessage.RecordsFollow follow ->
+            packer.packInt(RECORDS_FOLLOW).packString(follow.node());
+        case GatewayMessage.RecordOffered offered ->
+            packer
+                .packInt(RECORD_OFFERED)
+                .packString(offered.node())
+                .packString(offered.topic())
+                .packString(offered.key())
+                .packLong(offered.offset());
+        case GatewayMessage.RecordFetch fetch ->
+            packer
+                .packInt(RECORD_FETCH)
+                .packString(fetch.node())
+                .packString(fetch.topic())
+                .packString(fetch.key());
         case GatewayMessage.Relayed relayed -> write(packer, relayed.record());
         case GatewayMessage.Received received -> packer.packInt(RECEIVED);
         case GatewayMessage.Departure departure ->
@@ -90,6 +108,16 @@
     return switch (kind) {
       case LOADS -> readLoads(unpacker);
       case RECORDS_WANTED -> new GatewayMessage.RecordsWanted(unpacker.unpackString());
+      case RECORDS_FOLLOW -> new GatewayMessage.RecordsFollow(unpacker.unpackString());
+      case RECORD_OFFERED ->
+          new GatewayMessage.RecordOffered(
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackLong());
+      case RECORD_FETCH ->
+          new GatewayMessage.RecordFetch(
+              unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
       case RELAYED -> new GatewayMessage.Relayed(readRecord(unpacker, length));
       case RECEIVED -> new GatewayMessage.Received();
       case DEPARTURE ->
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeerLink.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeerLink.java
@@ -37,6 +37,7 @@
   private final PeerPresence presence;
   private final String host;
   private final int port;
+  private final String failureDomain;
   private @Nullable NetSocket open;
   private Instant heardAt;
   private boolean stopped;
@@ -48,7 +49,8 @@
       PeerPresence presence,
       String node,
       String host,
-      int port) {
+      int port,
+      String failureDomain) {
     this.vertx = vertx;
     this.clock = clock;
     this.client = client;
@@ -56,6 +58,7 @@
     this.node = node;
     this.host = host;
     this.port = port;
+    this.failureDomain = failureDomain;
     this.heardAt = clock.instant();
   }
 
@@ -63,6 +66,10 @@
     return host.equals(otherHost) && port == otherPort;
   }
 
+  String failureDomain() {
+    return failureDomain;
+  }
+
   boolean isOpen() {
     return open != null;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -11,8 +11,6 @@
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -23,7 +21,6 @@
 import org.cactusseam.logic.gateway.LoadNews;
 import org.cactusseam.logic.gateway.PeerPresence;
 import org.cactusseam.model.gateway.ServerInstance;
-import org.cactusseam.model.gateway.StoreRecord;
 
 /**
  * Exchange with the other gateways: each tells the load that it has placed, and passes records of
@@ -33,12 +30,6 @@
 
   private static final StructuredLog LOG = StructuredLog.of(GatewayPeers.class);
 
-  /** Time between two requests for records. */
-  private static final Duration WANTED_INTERVAL = Duration.ofMillis(700);
-
-  /** Records are passed on for this long after each request for them. */
-  private static final Duration SUBSCRIPTION = Duration.ofMillis(2_000);
-
   /** Time between two signs of life to a peer that tells its loads; a link waits 4 s for one. */
   private static final Duration CONFIRMATION = Duration.ofMillis(900);
 
@@ -52,11 +43,9 @@
   private final NetServer server;
   private final NetClient client;
   private final Map<String, GatewayPeerLink> links = new TreeMap<>();
-  private final Map<String, Instant> subscribers = new HashMap<>();
   private final LoadNews news = new LoadNews();
   private final PeerPresence presence = new PeerPresence();
-  private Instant wantedAt = Instant.MIN;
-  private int wantedFrom;
+  private final RecordExchange records;
 
   GatewayPeers(Gateway gateway, RecordRelay relay) {
     this.gateway = gateway;
@@ -74,7 +63,8 @@
                 new NetClientOptions()
                     .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                     .setTcpNoDelay(true));
-    relay.onRead(this::passOn);
+    this.records =
+        new RecordExchange(gateway.clock(), gateway.settings().node(), relay, new Connected());
     // After the present callback: a run that continues elsewhere changes two servers at once.
     gateway
         .loads()
@@ -87,7 +77,7 @@
     return server.listen(settings.peerPort(), settings.host()).mapEmpty();
   }
 
-  void connect(String node, String host, int port) {
+  void connect(String node, String host, int port, String failureDomain) {
     GatewayPeerLink known = links.get(node);
     if (node.equals(gateway.settings().node()) || (known != null && known.leadsTo(host, port))) {
       return;
@@ -96,7 +86,8 @@
       known.stop();
     }
     GatewayPeerLink link =
-        new GatewayPeerLink(gateway.vertx(), gateway.clock(), client, presence, node, host, port);
+        new GatewayPeerLink(
+            gateway.vertx(), gateway.clock(), client, presence, node, host, port, failureDomain);
     links.put(node, link);
     presence.found(node, gateway.clock().instant());
     link.dial();
@@ -106,11 +97,7 @@
     gateway.vms(presence.sharing(now) + 1);
     relay.gateways(presence.connectedCount() + 1);
     sendLoads(now);
-    subscribers.values().removeIf(until -> until.isBefore(now));
-    if (relay.isStoreAway() && wantedAt.plus(WANTED_INTERVAL).isBefore(now)) {
-      wantedAt = now;
-      askForRecords();
-    }
+    records.tick(now);
   }
 
   private void sendLoads(Instant now) {
@@ -124,33 +111,6 @@
     }
   }
 
-  /** Asks one peer after the other, because some of them may be turned away as well. */
-  private void askForRecords() {
-    List<GatewayPeerLink> open =
-        new ArrayList<>(links.values().stream().filter(GatewayPeerLink::isOpen).toList());
-    if (!open.isEmpty()) {
-      Buffer frame =
-          GatewayMessageCodec.encode(new GatewayMessage.RecordsWanted(gateway.settings().node()));
-      open.get(Math.floorMod(wantedFrom++, open.size())).send(frame);
-    }
-  }
-
-  /**
-   * Passes a record on: an urgent one to all, so that a change is known after the shortest of all
-   * pauses between reads, any other to those that cannot read the store.
-   */
-  private void passOn(StoreRecord record, boolean urgent) {
-    if (!urgent && subscribers.isEmpty()) {
-      return;
-    }
-    Buffer frame = GatewayMessageCodec.encode(new GatewayMessage.Relayed(record));
-    if (urgent) {
-      links.values().forEach(link -> link.send(frame));
-    } else {
-      subscribers.keySet().forEach(node -> send(node, frame));
-    }
-  }
-
   /** Tells the other gateways what an engine has reported; its entry may say so later or never. */
   void tellDeparture(ServerInstance server) {
     Buffer frame =
@@ -158,13 +118,6 @@
     links.values().forEach(link -> link.send(frame));
   }
 
-  private void send(String node, Buffer frame) {
-    GatewayPeerLink link = links.get(node);
-    if (link != null) {
-      link.send(frame);
-    }
-  }
-
   private void accept(NetSocket socket) {
     socket.exceptionHandler(cause -> socket.close());
     DialledBy peer = new DialledBy(socket);
@@ -200,8 +153,11 @@
           gateway.loads().peerLoads(loads.node(), loads.loads(), now);
           confirm(now);
         }
-        case GatewayMessage.RecordsWanted wanted -> subscribe(wanted.node());
-        case GatewayMessage.Relayed relayed -> relay.relayed(relayed.record());
+        case GatewayMessage.RecordsWanted wanted -> records.wanted(wanted);
+        case GatewayMessage.RecordsFollow follow -> records.follow(follow);
+        case GatewayMessage.RecordOffered offered -> records.offered(offered);
+        case GatewayMessage.RecordFetch fetch -> records.fetch(fetch);
+        case GatewayMessage.Relayed relayed -> records.relayed(relayed);
         case GatewayMessage.Departure departure -> departureTold(departure);
         case GatewayMessage.Received received -> {
           // Only dialled connections carry it; the link counts it as a sign of life.
@@ -225,15 +181,31 @@
         .ifPresent(server -> gateway.noticeDeparture(server, Departures.Sign.REPORTED));
   }
 
-  private void subscribe(String node) {
-    if (relay.isStoreAway()) {
-      return;
+  /** The gateways with an open connection. */
+  private final class Connected implements RecordExchange.Peers {
+
+    @Override
+    public List<String> connected() {
+      return links.entrySet().stream()
+          .filter(link -> link.getValue().isOpen())
+          .map(Map.Entry::getKey)
+          .toList();
+    }
+
+    @Override
+    public boolean isOwnRegion(String node) {
+      GatewayPeerLink link = links.get(node);
+      return link != null && gateway.settings().location().isOwnRegion(link.failureDomain());
     }
-    Instant until = gateway.clock().instant().plus(SUBSCRIPTION);
-    if (subscribers.put(node, until) == null) {
-      LOG.info("records_passed_on", field("to", node));
-      for (StoreRecord record : relay.newest()) {
-        send(node, GatewayMessageCodec.encode(new GatewayMessage.Relayed(record)));
+
+    @Override
+    public void send(Iterable<String> nodes, GatewayMessage message) {
+      Buffer frame = GatewayMessageCodec.encode(message);
+      for (String node : nodes) {
+        GatewayPeerLink link = links.get(node);
+        if (link != null) {
+          link.send(frame);
+        }
       }
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -153,7 +153,7 @@
   }
 
   @Override
-  public void peer(String node, String host, int port) {
-    peers.connect(node, host, port);
+  public void peer(String node, String host, int port, String failureDomain) {
+    peers.connect(node, host, port, failureDomain);
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordRelay.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordRelay.java
@@ -1,6 +1,7 @@
 package org.cactusseam.edge.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import org.cactusseam.model.gateway.StoreRecord;
 
 /**
@@ -16,6 +17,15 @@
    */
   List<StoreRecord> newest();
 
+  /**
+   * Returns the newest record of a key.
+   *
+   * @param topic topic
+   * @param key key
+   * @return record, absent if none is known
+   */
+  Optional<StoreRecord> newest(String topic, String key);
+
   /**
    * Takes a record from another gateway. It is ignored if a newer one is known.
    *
--- /dev/null
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/RecordExchangeTest.java
@@ -0,0 +1,229 @@
+package org.cactusseam.edge.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.cactusseam.logic.replay.PausedClock;
+import org.cactusseam.model.gateway.StoreRecord;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against changes that fill the links between regions, or do not reach gateways that the
+ * store turns away. Replays the 65 gateways of a grown deployment, which all read a change of the
+ * configuration at the same moment.
+ */
+class RecordExchangeTest {
+
+  private static final int GATEWAYS = 65;
+  private static final int CONFIGURATION_BYTES = 20_000;
+
+  /** 42 Mbit/s between two regions (site files), for a tenth of a second. */
+  private static final int LINK_BYTES = 42_000_000 / 8 / 10;
+
+  private static final long TICK_MILLIS = 50;
+
+  private final PausedClock clock = new PausedClock();
+  private final Map<String, Node> nodes = new TreeMap<>();
+  private final Deque<Runnable> deliveries = new ArrayDeque<>();
+  private final Set<String> dead = new HashSet<>();
+  private long betweenRegions;
+
+  private final class Node implements RecordRelay, RecordExchange.Peers {
+    private final String name;
+    private final Map<String, StoreRecord> newest = new HashMap<>();
+    private final RecordExchange exchange;
+    private Receiver receiver = (record, urgent) -> {};
+    private boolean storeAway;
+
+    Node(int number) {
+      name = (number % 2 == 0 ? "ost-" : "west-") + number;
+      exchange = new RecordExchange(clock, name, this, this);
+    }
+
+    void read(StoreRecord record, boolean urgent) {
+      if (!knows(record)) {
+        newest.put(record.key(), record);
+        receiver.read(record, urgent);
+      }
+    }
+
+    boolean knows(StoreRecord record) {
+      return Optional.ofNullable(newest.get(record.key()))
+          .filter(known -> known.offset() >= record.offset())
+          .isPresent();
+    }
+
+    void receive(GatewayMessage message) {
+      switch (message) {
+        case GatewayMessage.RecordsWanted wanted -> exchange.wanted(wanted);
+        case GatewayMessage.RecordsFollow follow -> exchange.follow(follow);
+        case GatewayMessage.RecordOffered offered -> exchange.offered(offered);
+        case GatewayMessage.RecordFetch fetch -> exchange.fetch(fetch);
+        case GatewayMessage.Relayed relayed -> exchange.relayed(relayed);
+        default -> throw new AssertionError("not a message about records: " + message);
+      }
+    }
+
+    @Override
+    public List<StoreRecord> newest() {
+      return List.copyOf(newest.values());
+    }
+
+    @Override
+    public Optional<StoreRecord> newest(String topic, String key) {
+      return Optional.ofNullable(newest.get(key));
+    }
+
+    @Override
+    public void relayed(StoreRecord record) {
+      if (!knows(record)) {
+        newest.put(record.key(), record);
+      }
+    }
+
+    @Override
+    public boolean isStoreAway() {
+      return storeAway;
+    }
+
+    @Override
+    public void gateways(int number) {}
+
+    @Override
+    public void onRead(Receiver newReceiver) {
+      receiver = newReceiver;
+    }
+
+    @Override
+    public List<String> connected() {
+      return nodes.keySet().stream().filter(each -> !each.equals(name)).toList();
+    }
+
+    @Override
+    public boolean isOwnRegion(String node) {
+      return node.charAt(0) == name.charAt(0);
+    }
+
+    @Override
+    public void send(Iterable<String> receivers, GatewayMessage message) {
+      int bytes = GatewayMessageCodec.encode(message).length();
+      for (String node : receivers) {
+        betweenRegions += isOwnRegion(node) ? 0 : bytes;
+        if (!dead.contains(node) && !dead.contains(name)) {
+          deliveries.add(() -> nodes.get(node).receive(message));
+        }
+      }
+    }
+  }
+
+  @BeforeEach
+  void startGateways() {
+    IntStream.range(0, GATEWAYS).mapToObj(Node::new).forEach(node -> nodes.put(node.name, node));
+  }
+
+  private static StoreRecord record(String key, long offset, int bytes) {
+    return new StoreRecord("topic", key, offset, Optional.of(new byte[bytes]));
+  }
+
+  private void deliver() {
+    while (!deliveries.isEmpty()) {
+      deliveries.poll().run();
+    }
+  }
+
+  private void run(long millis) {
+    for (long passed = 0; passed < millis; passed += TICK_MILLIS) {
+      clock.advance(TICK_MILLIS);
+      nodes.values().forEach(node -> node.exchange.tick(clock.instant()));
+      deliver();
+    }
+  }
+
+  private long withoutRecord(StoreRecord record) {
+    return nodes.values().stream().filter(node -> !node.knows(record)).count();
+  }
+
+  /** Each gateway sent the configuration to all others, and it took 5.8 s to the other region. */
+  @Test
+  void a_change_that_all_read_takes_little_of_the_link_between_regions() {
+    StoreRecord change = record("config", 7, CONFIGURATION_BYTES);
+    nodes.values().forEach(node -> node.read(change, true));
+    run(1_000);
+
+    assertThat(betweenRegions, lessThan((long) LINK_BYTES));
+  }
+
+  @ParameterizedTest(name = "every {0}th gateway reads")
+  @ValueSource(ints = {2, 3, 5, 13})
+  void a_change_reaches_gateways_that_do_not_read_it(int everyNth) {
+    StoreRecord change = record("config", 7, CONFIGURATION_BYTES);
+    List<Node> all = List.copyOf(nodes.values());
+    IntStream.range(0, GATEWAYS)
+        .filter(index -> index % everyNth == 0)
+        .forEach(index -> all.get(index).read(change, true));
+    run(500);
+
+    assertThat(withoutRecord(change), is(0L));
+  }
+
+  /** Guards against a gateway that dies right after its offer. */
+  @Test
+  void a_change_is_fetched_from_another_gateway_when_the_first_is_dead() {
+    StoreRecord change = record("config", 7, CONFIGURATION_BYTES);
+    nodes.get("ost-0").read(change, true);
+    nodes.get("ost-2").read(change, true);
+    deliver();
+    dead.add("ost-0");
+    run(1_000);
+
+    assertThat(nodes.values().stream().filter(node -> !node.knows(change)).toList().size(), is(0));
+  }
+
+  @Test
+  void a_short_change_is_told_to_all_at_once() {
+    StoreRecord leaving = record("engine-1", 8, 300);
+    nodes.get("west-1").read(leaving, true);
+    deliver();
+
+    assertThat(withoutRecord(leaving), is(0L));
+  }
+
+  /** A third of the gateways asked one after the other for everything: 838 times in 9 s. */
+  @Test
+  void gateways_that_the_store_turns_away_get_everything_once_from_their_own_region() {
+    for (int key = 0; key < 38; key++) {
+      StoreRecord record = record("key-" + key, key, key == 0 ? CONFIGURATION_BYTES : 300);
+      nodes.values().forEach(node -> node.newest.put(record.key(), record));
+    }
+    List<Node> all = List.copyOf(nodes.values());
+    for (int index = 0; index < GATEWAYS; index += 3) {
+      all.get(index).storeAway = true;
+    }
+    run(9_000);
+    assertThat(betweenRegions, lessThanOrEqualTo(0L));
+
+    StoreRecord refresh = record("key-1", 99, 300);
+    all.get(1).read(refresh, false);
+    all.get(2).read(refresh, false);
+    for (Node node : all) {
+      node.read(refresh, false);
+      deliver();
+    }
+    assertThat(withoutRecord(refresh), is(0L));
+  }
+}
