--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AccountLedgers.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AccountLedgers.java
@@ -13,7 +13,7 @@
 /** The ledgers of all client accounts that a shard has seen, and which of them bought a share. */
 final class AccountLedgers {
 
-  private static final int LOWEST_RANK = WaitingRoom.RANKS - 1;
+  private static final int LOWEST_RANK = WaitingAttempts.RANKS - 1;
 
   private final Map<AccountName, AccountLedger> ledgers = new HashMap<>();
   private final List<AccountLedger> purchased = new ArrayList<>();
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -36,7 +36,7 @@
  */
 public final class AdmissionShard {
 
-  private static final int LOWEST_RANK = WaitingRoom.RANKS - 1;
+  private static final int LOWEST_RANK = WaitingAttempts.RANKS - 1;
   private static final long NO_SERVER_RETRY_MILLIS = 5_000;
   private static final long SHORT_RETRY_MILLIS = 1_000;
 
@@ -58,7 +58,7 @@
   private final OutputLengths lengths = new OutputLengths();
   private final ServiceRate rate = new ServiceRate();
   private final List<AdmissionDecision> decisions = new ArrayList<>();
-  private final WaitingRoom waiting;
+  private final WaitingAttempts waiting;
   private final ServerChooser chooser;
   private final Reservations reservations;
   private final DeadlineRule deadlines;
@@ -91,7 +91,7 @@
     this.id = id;
     this.clock = clock;
     this.settings = settings;
-    this.waiting = new WaitingRoom(settings.uses(Mechanism.FAIR_SHARES));
+    this.waiting = new WaitingAttempts(settings.uses(Mechanism.FAIR_SHARES));
     this.chooser = new ServerChooser(settings);
     this.reservations = new Reservations(settings);
     this.deadlines = new DeadlineRule(settings, rate);
@@ -348,7 +348,7 @@
     long now = clock.millis();
     int ahead = 0;
     List<Long> waits = new ArrayList<>();
-    for (int rank = 0; rank < WaitingRoom.RANKS; rank++) {
+    for (int rank = 0; rank < WaitingAttempts.RANKS; rank++) {
       ahead += waiting.size(rank);
       waits.add((long) rate.waitMillis(ahead, open, now));
     }
@@ -443,7 +443,7 @@
     if (reserve) {
       reservations.refresh(servers.values(), ledgers.purchased());
     }
-    for (int rank = 0; rank < WaitingRoom.RANKS; rank++) {
+    for (int rank = 0; rank < WaitingAttempts.RANKS; rank++) {
       boolean paused = rank > settings.displacingRank() && !pause.isOver(now);
       if (paused || !admitRank(rank, now, reserve)) {
         return;
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Reservations.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Reservations.java
@@ -11,7 +11,7 @@
 final class Reservations {
 
   private final AdmissionSettings settings;
-  private final double[] unusedByRank = new double[WaitingRoom.RANKS];
+  private final double[] unusedByRank = new double[WaitingAttempts.RANKS];
   private double slots;
   private double memory;
   private double freeSlots;
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/WaitingRoom.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/WaitingAttempts.java
@@ -15,7 +15,7 @@
  * Waiting attempts by rank and account. Within a rank the account with the fewest charged tokens
  * comes first, and within an account the oldest attempt.
  */
-final class WaitingRoom {
+final class WaitingAttempts {
 
   static final int RANKS = 10;
 
@@ -45,7 +45,7 @@
    * @param fair whether accounts take turns by charged tokens; otherwise the oldest attempt of the
    *     rank comes first
    */
-  WaitingRoom(boolean fair) {
+  WaitingAttempts(boolean fair) {
     this.fair = fair;
     for (int rank = 0; rank < RANKS; rank++) {
       lines.add(new HashMap<>());
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.function.ToIntFunction;
 import org.cactusseam.logic.membership.ShardMap;
-import org.cactusseam.logic.orders.OrderBook;
+import org.cactusseam.logic.orders.OrderView;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
@@ -63,7 +63,7 @@
   private Configuration configuration = Configuration.EMPTY;
   private Membership membership = Membership.EMPTY;
   private ShardOwners owners = ShardOwners.EMPTY;
-  private OrderBook orders = OrderBook.EMPTY;
+  private OrderView orders = OrderView.EMPTY;
   private long nextOffset;
   private long logTimeMillis;
 
@@ -123,7 +123,7 @@
     if (order instanceof OrderRecord.Issued issued && commands.containsKey(issued.commandId())) {
       return Verdict.DUPLICATE;
     }
-    Optional<OrderBook> next =
+    Optional<OrderView> next =
         orders.apply(offset, order).filter(applied -> !isToMissingServer(order));
     Verdict verdict = next.isPresent() ? Verdict.ACCEPTED : Verdict.INVALID;
     if (order instanceof OrderRecord.Issued issued) {
@@ -372,7 +372,7 @@
    *
    * @return immutable view
    */
-  public OrderBook orders() {
+  public OrderView orders() {
     return orders;
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
-import org.cactusseam.logic.orders.OrderBook;
+import org.cactusseam.logic.orders.OrderView;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.ClientAccount;
@@ -65,7 +65,7 @@
       Map<String, ControlState.Command> commands,
       Map<ObjectKey, Long> tombstones,
       Map<NodeName, ControlState.Ended> ended,
-      OrderBook orders) {}
+      OrderView orders) {}
 
   private SnapshotEntries() {}
 
@@ -76,7 +76,7 @@
       Map<String, ControlState.Command> commands,
       Map<ObjectKey, Long> tombstones,
       Map<NodeName, ControlState.Ended> ended,
-      OrderBook orders) {
+      OrderView orders) {
     List<SnapshotEntry> entries = new ArrayList<>();
     for (Class<? extends ConfigurationObject> type : TYPES) {
       configuration.all(type).forEach(object -> entries.add(present(configuration, object)));
@@ -131,7 +131,7 @@
     Map<String, ControlState.Command> commands = new LinkedHashMap<>();
     Map<ObjectKey, Long> tombstones = new LinkedHashMap<>();
     Map<NodeName, ControlState.Ended> ended = new LinkedHashMap<>();
-    List<OrderBook.Entry> orders = new ArrayList<>();
+    List<OrderView.Entry> orders = new ArrayList<>();
     for (SnapshotEntry entry : entries) {
       switch (entry) {
         case SnapshotEntry.Present present ->
@@ -156,7 +156,7 @@
         case SnapshotEntry.EndedRun run ->
             ended.put(run.node(), new ControlState.Ended(run.boot(), run.endedAtMillis()));
         case SnapshotEntry.Owned owned -> owners.put(owned.shard(), owned.owner());
-        case SnapshotEntry.Order order -> orders.add(OrderBook.Entry.of(order));
+        case SnapshotEntry.Order order -> orders.add(OrderView.Entry.of(order));
       }
     }
     return new Restored(
@@ -166,7 +166,7 @@
         commands,
         tombstones,
         ended,
-        new OrderBook(orders));
+        new OrderView(orders));
   }
 
   static List<ControlRecord.Snapshot> split(
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LoadNews.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LoadNews.java
@@ -35,7 +35,7 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  private Map<String, LoadBoard.ServerLoad> told = Map.of();
+  private Map<String, ServerLoads.ServerLoad> told = Map.of();
   private Instant toldAt = Instant.MIN;
   private double promptMessages;
   private Instant refilledAt = Instant.MIN;
@@ -48,7 +48,7 @@
    * @param now time
    * @return whether a message is due to each of them
    */
-  public boolean isDue(Map<String, LoadBoard.ServerLoad> loads, int others, Instant now) {
+  public boolean isDue(Map<String, ServerLoads.ServerLoad> loads, int others, Instant now) {
     refill(others, now);
     boolean promptsChanged = !unread(loads).equals(unread(told)) && promptMessages >= others;
     boolean otherChanged = isOlderThan(interval(others), now) && !loads.equals(told);
@@ -62,7 +62,7 @@
    * @param others number of other VMs
    * @param now time
    */
-  public void told(Map<String, LoadBoard.ServerLoad> loads, int others, Instant now) {
+  public void told(Map<String, ServerLoads.ServerLoad> loads, int others, Instant now) {
     told = Map.copyOf(loads);
     toldAt = now;
     promptMessages -= others;
@@ -89,7 +89,7 @@
     return bound.compareTo(SHORTEST_INTERVAL) < 0 ? SHORTEST_INTERVAL : bound;
   }
 
-  private static Map<String, Integer> unread(Map<String, LoadBoard.ServerLoad> loads) {
+  private static Map<String, Integer> unread(Map<String, ServerLoads.ServerLoad> loads) {
     Map<String, Integer> unread = new HashMap<>();
     loads.forEach(
         (server, load) -> {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/Placement.java
@@ -66,7 +66,7 @@
   private final Clock clock;
   private final Location location;
   private final ServerTable servers;
-  private final LoadBoard loads;
+  private final ServerLoads loads;
   private final ServerHealth health;
   private final Departures departures;
   private final EngineReports reports;
@@ -137,7 +137,7 @@
       Clock clock,
       Location location,
       ServerTable servers,
-      LoadBoard loads,
+      ServerLoads loads,
       ServerHealth health,
       Departures departures,
       EngineReports reports,
@@ -239,7 +239,7 @@
   }
 
   private boolean hasRoom(Need need, ServerInstance server) {
-    LoadBoard.ServerLoad load = loads.total(server.id());
+    ServerLoads.ServerLoad load = loads.total(server.id());
     if (load.runs() >= slots(need, server)) {
       return false;
     }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LoadBoard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerLoads.java
@@ -10,7 +10,7 @@
  * other VMs. Reports of the servers are not used for it, because they are several hundred
  * milliseconds old and all VMs would send to the same server that seemed idle.
  */
-public final class LoadBoard {
+public final class ServerLoads {
 
   /** Loads of a VM that has not spoken for this long are forgotten; several message intervals. */
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(3);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/MembershipCoordinator.java
@@ -46,7 +46,7 @@
   private final MembershipSettings settings;
   private final Clock clock;
   private final PeerTable peers;
-  private final Tenures tenures;
+  private final OwnershipPeriods periods;
   private final List<MembershipAction> actions = new ArrayList<>();
   private final Map<ControlRecord, Instant> appends = new HashMap<>();
   private final Map<ShardId, Handover> handovers = new TreeMap<>();
@@ -77,7 +77,7 @@
     this.settings = settings;
     this.clock = clock;
     peers = new PeerTable(settings);
-    tenures = new Tenures(settings);
+    periods = new OwnershipPeriods(settings);
     rejoinAt = clock.instant();
     rejoinDelay = settings.appendRetry();
   }
@@ -109,18 +109,18 @@
       appends.keySet().removeIf(record -> !isPending(record));
     }
     peers.caughtUp(nextOffset);
-    Set<ShardId> startedBefore = Set.copyOf(tenures.started().keySet());
-    tenures.changed(state.owners(), skipped, ended, run(), now);
-    updateTenures(now);
+    Set<ShardId> startedBefore = Set.copyOf(periods.started().keySet());
+    periods.changed(state.owners(), skipped, ended, run(), now);
+    updateOwnershipPeriods(now);
     startedBefore.stream()
-        .filter(shard -> !tenures.owned().containsKey(shard))
+        .filter(shard -> !periods.owned().containsKey(shard))
         .sorted()
         .forEach(this::handOverToNewOwner);
   }
 
   /** Saves the new owner the wait; if the message is lost, it waits. */
   private void handOverToNewOwner(ShardId shard) {
-    Optional<ShardOwner> owner = tenures.ownerByLog(shard);
+    Optional<ShardOwner> owner = periods.ownerByLog(shard);
     if (owner.isPresent()) {
       RunId to = owner.get().run();
       Handover handover = new Handover(shard, to, owner.get().epoch(), run(), to, Set.of());
@@ -171,7 +171,7 @@
   public void connectionRefused(NodeName node, Instant attemptedAt) {
     Instant now = clock.instant();
     peers.connectionRefused(node, attemptedAt, now);
-    tenures.ended(run -> run.node().equals(node), attemptedAt, now);
+    periods.ended(run -> run.node().equals(node), attemptedAt, now);
   }
 
   /**
@@ -182,7 +182,7 @@
   public void bootSeen(RunId run) {
     Instant now = clock.instant();
     peers.bootSeen(run, now);
-    tenures.ended(
+    periods.ended(
         known -> known.node().equals(run.node()) && known.boot().compareTo(run.boot()) < 0,
         now,
         now);
@@ -209,16 +209,16 @@
       return;
     }
     if (handover.followsRecord()) {
-      tenures.releasedByRecord(handover);
-      updateTenures(clock.instant());
+      periods.releasedByRecord(handover);
+      updateOwnershipPeriods(clock.instant());
       return;
     }
     if (!isActive()) {
       return;
     }
-    tenures.handoverReceived(handover, run());
+    periods.handoverReceived(handover, run());
     actions.add(new MembershipAction.AcknowledgeHandover(handover));
-    updateTenures(clock.instant());
+    updateOwnershipPeriods(clock.instant());
   }
 
   /**
@@ -236,18 +236,18 @@
       return;
     }
     Instant now = clock.instant();
-    Set<ShardId> settled = Set.copyOf(tenures.started().keySet());
+    Set<ShardId> settled = Set.copyOf(periods.started().keySet());
     leaving = true;
     for (ShardId shard : settled) {
       successor(shard).ifPresent(to -> handovers.put(shard, handover(shard, to)));
     }
-    updateTenures(now);
+    updateOwnershipPeriods(now);
     tick();
   }
 
   private Handover handover(ShardId shard, RunId to) {
-    ShardOwner owner = tenures.ownerByLog(shard).orElseThrow();
-    Set<RunId> released = tenures.releasedBy(shard, run());
+    ShardOwner owner = periods.ownerByLog(shard).orElseThrow();
+    Set<RunId> released = periods.releasedBy(shard, run());
     return new Handover(shard, owner.run(), owner.epoch(), run(), to, released);
   }
 
@@ -264,7 +264,7 @@
   /** Does what is due. It should be called at least every 100 ms. */
   public void tick() {
     Instant now = clock.instant();
-    updateTenures(now);
+    updateOwnershipPeriods(now);
     peers.prune(now);
     sendPings(now);
     if (leaving) {
@@ -276,27 +276,27 @@
     }
   }
 
-  private void updateTenures(Instant now) {
+  private void updateOwnershipPeriods(Instant now) {
     boolean mayOwn = !leaving && isActive();
     List<ShardId> lost =
-        tenures.started().keySet().stream()
-            .filter(shard -> !mayOwn || !tenures.isStarted(shard))
+        periods.started().keySet().stream()
+            .filter(shard -> !mayOwn || !periods.isStarted(shard))
             .toList();
     for (ShardId shard : lost) {
-      tenures.started().remove(shard);
+      periods.started().remove(shard);
       actions.add(new MembershipAction.StopOwning(shard));
     }
     if (mayOwn) {
-      tenures.owned().entrySet().stream()
+      periods.owned().entrySet().stream()
           .sorted(Map.Entry.comparingByKey())
-          .filter(entry -> !tenures.isStarted(entry.getKey()))
-          .filter(entry -> tenures.isClear(entry.getKey(), now))
+          .filter(entry -> !periods.isStarted(entry.getKey()))
+          .filter(entry -> periods.isClear(entry.getKey(), now))
           .forEach(entry -> start(entry.getKey(), entry.getValue()));
     }
   }
 
   private void start(ShardId shard, long epoch) {
-    tenures.started().put(shard, epoch);
+    periods.started().put(shard, epoch);
     actions.add(new MembershipAction.BecomeOwner(shard, epoch));
   }
 
@@ -319,7 +319,7 @@
     boolean needsAll =
         others.size() < settings.meshMembers()
             || standing().equals(Optional.of(MemberStanding.JOINED))
-            || (!tenures.owned().isEmpty()
+            || (!periods.owned().isEmpty()
                 && !isFresh(logReadAt, settings.lease().dividedBy(2), now));
     return needsAll ? others : monitored(others, now);
   }
@@ -385,7 +385,7 @@
       rejoinAt = now.plus(rejoinDelay);
       Duration doubled = rejoinDelay.multipliedBy(2);
       rejoinDelay = doubled.compareTo(MAXIMUM_REJOIN_DELAY) > 0 ? MAXIMUM_REJOIN_DELAY : doubled;
-      tenures.refresh(run());
+      periods.refresh(run());
     }
     append(new ControlRecord.Join(self), now);
   }
@@ -480,7 +480,7 @@
    */
   public boolean mayGrant(ShardId shard) {
     Instant now = clock.instant();
-    return !leaving && isActive() && tenures.isStarted(shard) && hasLease(shard, now);
+    return !leaving && isActive() && periods.isStarted(shard) && hasLease(shard, now);
   }
 
   /**
@@ -517,7 +517,7 @@
         readAt.isPresent()
             ? OptionalLong.of(Duration.between(readAt.get(), now).toMillis() + 1)
             : OptionalLong.empty();
-    boolean settled = !leaving && tenures.isSettled();
+    boolean settled = !leaving && periods.isSettled();
     return new PeerStatus(run(), nextOffset, age, settled, leaving);
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/membership/Tenures.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/membership/OwnershipPeriods.java
@@ -19,7 +19,7 @@
  * Which shards a node owns, and until when earlier owners of each shard may hold leases. Earlier
  * owners are tracked for all shards, because a node may become the owner by the next record.
  */
-final class Tenures {
+final class OwnershipPeriods {
 
   /** Stands for owners in records that this node did not apply one by one. */
   private static final RunId UNKNOWN = new RunId(new NodeName("unknown"), "");
@@ -33,7 +33,7 @@
   private final Map<ShardId, Long> owned = new HashMap<>();
   private ShardOwners owners = ShardOwners.EMPTY;
 
-  Tenures(MembershipSettings settings) {
+  OwnershipPeriods(MembershipSettings settings) {
     this.settings = settings;
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderExecutor.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderExecutor.java
@@ -38,7 +38,7 @@
  * {@link #begin} also needs a valid lease. Its successor takes over only when that lease is over.
  *
  * <p>When a server is removed, the log ends its orders. An order that may be under way is followed
- * without being sent again, so that its result still shows; see {@link OrderBook#serverRemoved}.
+ * without being sent again, so that its result still shows; see {@link OrderView#serverRemoved}.
  *
  * <p>Not thread-safe; owned by the control thread.
  */
@@ -75,7 +75,7 @@
       EnumSet.of(Phase.AWAITING_TOKEN, Phase.AWAITING_START, Phase.ENTITLED);
 
   private static final class Job {
-    private final OrderBook.Entry entry;
+    private final OrderView.Entry entry;
     private final Instant created;
     private Phase phase = Phase.CHECKING;
     private Instant repeatAt = Instant.MIN;
@@ -86,7 +86,7 @@
     private Optional<String> sentTo = Optional.empty();
     private OrderOutcome outcome = OrderOutcome.FAILED;
 
-    private Job(OrderBook.Entry entry, Instant created) {
+    private Job(OrderView.Entry entry, Instant created) {
       this.entry = entry;
       this.created = created;
       this.everSent = entry.start().isPresent();
@@ -106,7 +106,7 @@
   private final Map<Long, Job> followed = new LinkedHashMap<>();
 
   private final List<OrderAction> actions = new ArrayList<>();
-  private OrderBook book = OrderBook.EMPTY;
+  private OrderView orderView = OrderView.EMPTY;
   private long attempts;
 
   /**
@@ -146,10 +146,10 @@
   /**
    * Notes the orders after a control record was applied.
    *
-   * @param newBook view of the orders
+   * @param newOrderView view of the orders
    */
-  public void ordersChanged(OrderBook newBook) {
-    book = newBook;
+  public void ordersChanged(OrderView newOrderView) {
+    orderView = newOrderView;
     advance();
   }
 
@@ -161,7 +161,7 @@
   private void advance() {
     follow();
     for (BackendServerName server : owned.keySet()) {
-      Optional<OrderBook.Entry> next = book.next(server);
+      Optional<OrderView.Entry> next = orderView.next(server);
       Job job = jobs.get(server);
       boolean current =
           job != null && next.isPresent() && next.get().offset() == job.entry.offset();
@@ -198,7 +198,7 @@
    * @return true if it is
    */
   public boolean isFollowed(long order) {
-    return book.find(order).filter(OrderBook.Entry::isFollowed).isPresent();
+    return orderView.find(order).filter(OrderView.Entry::isFollowed).isPresent();
   }
 
   /**
@@ -234,8 +234,11 @@
   }
 
   private boolean isStarted(Job job) {
-    OrderBook.Start mine = new OrderBook.Start(node, boot, job.attempt);
-    return book.find(job.entry.offset()).flatMap(OrderBook.Entry::start).equals(Optional.of(mine));
+    OrderView.Start mine = new OrderView.Start(node, boot, job.attempt);
+    return orderView
+        .find(job.entry.offset())
+        .flatMap(OrderView.Entry::start)
+        .equals(Optional.of(mine));
   }
 
   private void repeat(Job job, Instant now) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderBook.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/orders/OrderView.java
@@ -16,10 +16,10 @@
  *
  * @param entries orders by offset
  */
-public record OrderBook(List<Entry> entries) {
+public record OrderView(List<Entry> entries) {
 
   /** View without orders. */
-  public static final OrderBook EMPTY = new OrderBook(List.of());
+  public static final OrderView EMPTY = new OrderView(List.of());
 
   /** Bound on the orders kept; the oldest that are over are forgotten first. */
   public static final int MAXIMUM_ENTRIES = 1_000;
@@ -102,7 +102,7 @@
   public record Start(NodeName by, String boot, long attempt) {}
 
   /** Copies the list. */
-  public OrderBook {
+  public OrderView {
     entries = List.copyOf(entries);
   }
 
@@ -114,7 +114,7 @@
    * @return the next view, or empty if the record is rejected: it names no open order, or too many
    *     orders are open
    */
-  public Optional<OrderBook> apply(long offset, OrderRecord orderRecord) {
+  public Optional<OrderView> apply(long offset, OrderRecord orderRecord) {
     return switch (orderRecord) {
       case OrderRecord.Issued issued -> issue(offset, issued);
       case OrderRecord.Started started -> {
@@ -135,8 +135,8 @@
    * @param server removed server
    * @return the next view
    */
-  public OrderBook serverRemoved(BackendServerName server) {
-    return new OrderBook(
+  public OrderView serverRemoved(BackendServerName server) {
+    return new OrderView(
         entries.stream()
             .map(
                 entry ->
@@ -152,7 +152,7 @@
         : OrderOutcome.SERVER_REMOVED;
   }
 
-  private Optional<OrderBook> issue(long offset, OrderRecord.Issued issued) {
+  private Optional<OrderView> issue(long offset, OrderRecord.Issued issued) {
     List<Entry> copy = new ArrayList<>(entries);
     if (copy.size() >= MAXIMUM_ENTRIES) {
       Optional<Entry> oldest =
@@ -170,11 +170,11 @@
             issued.order(),
             Optional.empty(),
             Optional.empty()));
-    return Optional.of(new OrderBook(copy));
+    return Optional.of(new OrderView(copy));
   }
 
-  private OrderBook replace(Entry changed) {
-    return new OrderBook(
+  private OrderView replace(Entry changed) {
+    return new OrderView(
         entries.stream()
             .map(entry -> entry.offset() == changed.offset() ? changed : entry)
             .toList());
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayNetwork.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayNetwork.java
@@ -12,19 +12,19 @@
   private static final int LOWEST_RANK = 9;
 
   private final EventQueue queue;
-  private final MeterBoard board;
+  private final RunMeters meters;
   private final Deployment deployment;
   private final List<Owner> owners;
   private final Map<String, Integer> ranks;
 
   ReplayNetwork(
       EventQueue queue,
-      MeterBoard board,
+      RunMeters meters,
       Deployment deployment,
       List<Owner> owners,
       Map<String, Integer> ranks) {
     this.queue = queue;
-    this.board = board;
+    this.meters = meters;
     this.deployment = deployment;
     this.owners = owners;
     this.ranks = ranks;
@@ -34,8 +34,8 @@
     return queue;
   }
 
-  MeterBoard board() {
-    return board;
+  RunMeters meters() {
+    return meters;
   }
 
   int rank(String priorityClass) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayRunner.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/ReplayRunner.java
@@ -69,9 +69,9 @@
     deployment.domains().forEach(domain -> createDomain(domain, trace));
     configure();
     queue.runUntil(WARM_UP_MICROS);
-    MeterBoard board = new MeterBoard(outMillis(trace), inMillis(trace));
+    RunMeters meters = new RunMeters(outMillis(trace), inMillis(trace));
     ReplayNetwork network =
-        new ReplayNetwork(queue, board, deployment, List.copyOf(owners.values()), RANKS);
+        new ReplayNetwork(queue, meters, deployment, List.copyOf(owners.values()), RANKS);
     long number = 0;
     long end = 0;
     for (TraceLine line : trace) {
@@ -82,7 +82,7 @@
     long violations =
         servers.values().stream().mapToLong(each -> each.engine.coldViolations()).sum();
     long crashes = servers.values().stream().mapToLong(SimulatedServer::crashes).sum();
-    return new ReplayReport(violations, crashes, board.rows());
+    return new ReplayReport(violations, crashes, meters.rows());
   }
 
   private void createAccounts(Deployment deployment) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/RequestRun.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/RequestRun.java
@@ -43,14 +43,14 @@
   }
 
   void start() {
-    network.board().record(line, Meter::request);
+    network.meters().record(line, Meter::request);
     askNextOwner();
   }
 
   private void askNextOwner() {
     Owner owner = network.choose(line.region(), network.rank(line.priorityClass()), refusedBy);
     if (owner == null) {
-      network.board().record(line, Meter::refused);
+      network.meters().record(line, Meter::refused);
       return;
     }
     new Attempt(owner).ask();
@@ -62,7 +62,7 @@
       refusedBy.clear();
       askNextOwner();
     } else {
-      network.board().record(line, Meter::failed);
+      network.meters().record(line, Meter::failed);
     }
   }
 
@@ -176,7 +176,7 @@
 
     private void countCrossRegion(SimulatedServer server, long bytes) {
       if (!server.region.equals(line.region())) {
-        network.board().record(line, meter -> meter.crossRegion(bytes));
+        network.meters().record(line, meter -> meter.crossRegion(bytes));
       }
     }
 
@@ -220,10 +220,10 @@
     public void token(long atMicros) {
       long seen = atMicros + serverDelay + Deployment.CLIENT_LATENCY_MICROS;
       if (tokens == 0) {
-        network.board().begun(line, seen - arrivedMicros);
+        network.meters().begun(line, seen - arrivedMicros);
       } else {
         long gap = seen - lastTokenMicros;
-        network.board().record(line, meter -> meter.gap(gap));
+        network.meters().record(line, meter -> meter.gap(gap));
       }
       lastTokenMicros = seen;
       tokens++;
@@ -231,13 +231,13 @@
 
     @Override
     public void preempted() {
-      network.board().record(line, Meter::preempted);
+      network.meters().record(line, Meter::preempted);
     }
 
     @Override
     public void finished(long atMicros) {
       if (lastTokenMicros - arrivedMicros <= line.deadlineMillis() * 1_000) {
-        network.board().record(line, meter -> meter.inDeadline(tokens));
+        network.meters().record(line, meter -> meter.inDeadline(tokens));
       }
       network.queue().after(serverDelay, () -> end(AttemptEnd.COMPLETED));
     }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/replay/MeterBoard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/replay/RunMeters.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 
 /** The meters of a run by account, by class and in total. */
-final class MeterBoard {
+final class RunMeters {
 
   private static final long RETURN_MILLIS = 20_000;
 
@@ -18,7 +18,7 @@
   private final long inMillis;
 
   /** Creates meters for a run in which a failure domain is out between two times. */
-  MeterBoard(long outMillis, long inMillis) {
+  RunMeters(long outMillis, long inMillis) {
     this.outMillis = outMillis;
     this.inMillis = inMillis;
   }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/control/ServerOrdersTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/control/ServerOrdersTest.java
@@ -10,7 +10,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import org.cactusseam.logic.orders.OrderBook;
+import org.cactusseam.logic.orders.OrderView;
 import org.cactusseam.model.BackendKind;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.NodeName;
@@ -82,13 +82,13 @@
     removeServer(2);
 
     assertThat(state.apply(3, issued("late")), is(Verdict.INVALID));
-    assertThat(state.orders(), is(OrderBook.EMPTY));
+    assertThat(state.orders(), is(OrderView.EMPTY));
   }
 
   @Test
   void a_command_stays_an_order_when_the_order_is_no_longer_kept() {
     long offset = 2;
-    for (int number = 0; number <= OrderBook.MAXIMUM_ENTRIES; number++) {
+    for (int number = 0; number <= OrderView.MAXIMUM_ENTRIES; number++) {
       state.apply(offset, issued("c" + number));
       state.apply(offset + 1, new OrderRecord.Ended(offset, OrderOutcome.DONE));
       offset += 2;
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LoadNewsTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LoadNewsTest.java
@@ -10,7 +10,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
-import org.cactusseam.logic.gateway.LoadBoard.ServerLoad;
+import org.cactusseam.logic.gateway.ServerLoads.ServerLoad;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PlacementTest.java
@@ -23,7 +23,7 @@
 
   private final PausedClock clock = new PausedClock(Instant.EPOCH);
   private final ServerTable servers = new ServerTable();
-  private final LoadBoard loads = new LoadBoard();
+  private final ServerLoads loads = new ServerLoads();
   private final ServerHealth health = new ServerHealth();
   private final Departures departures = new Departures();
   private final EngineReports reports = new EngineReports();
@@ -83,7 +83,7 @@
   @Test
   void what_other_vms_have_placed_counts() {
     loads.peerLoads(
-        "vm-2", Map.of("near", new LoadBoard.ServerLoad(6, 26_000, 0)), clock.instant());
+        "vm-2", Map.of("near", new ServerLoads.ServerLoad(6, 26_000, 0)), clock.instant());
 
     assertThat(choose(LETTER), is(Optional.of("far")));
   }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PromptLoadReplay.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PromptLoadReplay.java
@@ -80,7 +80,7 @@
   private final class Vm {
     private final int number;
     private final String region;
-    private final LoadBoard loads = new LoadBoard();
+    private final ServerLoads loads = new ServerLoads();
     private final LoadNews news = new LoadNews();
     private final Placement placement;
 
@@ -105,7 +105,7 @@
     }
 
     void tell() {
-      Map<String, LoadBoard.ServerLoad> own = loads.own();
+      Map<String, ServerLoads.ServerLoad> own = loads.own();
       if (news.isDue(own, vms.size() - 1, clock.instant())) {
         news.told(own, vms.size() - 1, clock.instant());
         for (Vm other : vms) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/membership/TenuresTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/membership/OwnershipPeriodsTest.java
@@ -22,7 +22,7 @@
  * Guards against a successor that grants while permits of the earlier owner are valid, and against
  * a late handover of an earlier epoch that ends the wait for a later one.
  */
-class TenuresTest {
+class OwnershipPeriodsTest {
 
   private static final ShardId SHARD = new ShardId(new PoolName("p"), new RegionName("r"), 0);
   private static final RunId FIRST = new RunId(new NodeName("n1"), "b1");
@@ -39,19 +39,19 @@
   })
   void only_a_handover_of_the_current_epoch_ends_the_wait(
       long epoch, boolean before, boolean clear) {
-    Tenures tenures = new Tenures(MembershipSettings.DEFAULT);
+    OwnershipPeriods periods = new OwnershipPeriods(MembershipSettings.DEFAULT);
     Handover handover = new Handover(SHARD, SECOND, epoch, FIRST, SECOND, Set.of());
-    tenures.changed(owned(FIRST, 7), false, Set.of(), SECOND, Instant.EPOCH);
+    periods.changed(owned(FIRST, 7), false, Set.of(), SECOND, Instant.EPOCH);
     if (before) {
-      tenures.releasedByRecord(handover);
+      periods.releasedByRecord(handover);
     }
-    tenures.changed(owned(SECOND, 10), false, Set.of(), SECOND, Instant.EPOCH);
+    periods.changed(owned(SECOND, 10), false, Set.of(), SECOND, Instant.EPOCH);
     if (!before) {
-      tenures.releasedByRecord(handover);
+      periods.releasedByRecord(handover);
     }
 
-    assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusSeconds(4)), is(clear));
-    assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusSeconds(5)), is(true));
+    assertThat(periods.isClear(SHARD, Instant.EPOCH.plusSeconds(4)), is(clear));
+    assertThat(periods.isClear(SHARD, Instant.EPOCH.plusSeconds(5)), is(true));
   }
 
   /** Permits of the ended run may still be used for the time of their validity. */
@@ -69,16 +69,16 @@
   })
   void the_wait_for_a_run_that_has_ended_is_that_for_its_permits(
       String seen, long millis, boolean clear) {
-    Tenures tenures = new Tenures(MembershipSettings.DEFAULT);
-    tenures.changed(owned(FIRST, 7), false, Set.of(), SECOND, Instant.EPOCH);
+    OwnershipPeriods periods = new OwnershipPeriods(MembershipSettings.DEFAULT);
+    periods.changed(owned(FIRST, 7), false, Set.of(), SECOND, Instant.EPOCH);
     Set<RunId> ended = seen.equals("before") ? Set.of(FIRST) : Set.of();
-    tenures.changed(owned(SECOND, 10), false, ended, SECOND, Instant.EPOCH);
+    periods.changed(owned(SECOND, 10), false, ended, SECOND, Instant.EPOCH);
     if (seen.matches("-?[0-9]+")) {
       Instant at = Instant.EPOCH.plusMillis(Long.parseLong(seen));
-      tenures.ended(FIRST::equals, at, at);
+      periods.ended(FIRST::equals, at, at);
     }
 
-    assertThat(tenures.isClear(SHARD, Instant.EPOCH.plusMillis(millis)), is(clear));
+    assertThat(periods.isClear(SHARD, Instant.EPOCH.plusMillis(millis)), is(clear));
   }
 
   private static ShardOwners owned(RunId run, long epoch) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderExecutorTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderExecutorTest.java
@@ -47,7 +47,7 @@
           fleet.heal();
           fleet.run(Duration.ofMinutes(2));
           assertThat(name, fleet.violations, is(empty()));
-          assertThat(name + fleet.book, fleet.isAllEnded(), is(true));
+          assertThat(name + fleet.orderView, fleet.isAllEnded(), is(true));
           assertThat(name, fleet.isDoneTrue(), is(true));
           assertRateIsKept(name, fleet.sends);
           effects += fleet.effects.size();
@@ -70,16 +70,16 @@
   private final NodeName node = new NodeName("vm0");
   private final OrderExecutor executor = new OrderExecutor(node, "boot", clock);
   private final ServerOrder load = new ServerOrder(ServerOrder.Kind.LOAD_MODEL, "large");
-  private OrderBook book =
-      OrderBook.EMPTY.apply(7, new OrderRecord.Issued("c", SERVER, load, "operator")).orElseThrow();
+  private OrderView orderView =
+      OrderView.EMPTY.apply(7, new OrderRecord.Issued("c", SERVER, load, "operator")).orElseThrow();
 
   private void apply(OrderRecord orderRecord) {
-    book = book.apply(8, orderRecord).orElseThrow();
-    executor.ordersChanged(book);
+    orderView = orderView.apply(8, orderRecord).orElseThrow();
+    executor.ordersChanged(orderView);
   }
 
   private void reachSend() {
-    executor.ordersChanged(book);
+    executor.ordersChanged(orderView);
     executor.own(SERVER, false);
     executor.stateRead(7, clock.instant(), "run", OrderState.ABSENT);
     executor.tokenGranted(7);
@@ -88,7 +88,7 @@
 
   @Test
   void the_state_is_read_before_anything_else() {
-    executor.ordersChanged(book);
+    executor.ordersChanged(orderView);
     executor.own(SERVER, false);
     assertThat(executor.drain(), contains(new OrderAction.ReadState(SERVER, 7, load)));
 
@@ -131,7 +131,7 @@
   @ParameterizedTest(name = "token after {0} ms: announced {1}")
   @CsvSource({"4999, true", "5000, false"})
   void a_late_token_does_not_lead_to_a_send(long millis, boolean expected) {
-    executor.ordersChanged(book);
+    executor.ordersChanged(orderView);
     executor.own(SERVER, false);
     executor.stateRead(7, clock.instant(), "run", OrderState.ABSENT);
     executor.drain();
@@ -191,7 +191,7 @@
     if (started) {
       apply(new OrderRecord.Started(7, node, "earlier boot", 1));
     }
-    executor.ordersChanged(book);
+    executor.ordersChanged(orderView);
     executor.own(SERVER, fencing);
 
     executor.stateRead(7, clock.instant().plusSeconds(60), "run", OrderState.UNLISTED);
@@ -201,7 +201,7 @@
 
   @Test
   void an_order_without_result_ends_as_failed() {
-    executor.ordersChanged(book);
+    executor.ordersChanged(orderView);
     executor.own(SERVER, false);
     clock.advance(Duration.ofMinutes(30));
     executor.drain();
@@ -238,15 +238,15 @@
     if (started) {
       reachSend();
     } else {
-      executor.ordersChanged(book);
+      executor.ordersChanged(orderView);
       executor.own(SERVER, false);
     }
     executor.drain();
 
-    book = book.serverRemoved(SERVER);
-    executor.ordersChanged(book);
+    orderView = orderView.serverRemoved(SERVER);
+    executor.ordersChanged(orderView);
 
-    assertThat(book.find(7).orElseThrow().outcome(), is(Optional.of(outcome)));
+    assertThat(orderView.find(7).orElseThrow().outcome(), is(Optional.of(outcome)));
     assertThat(executor.begin(7, true), is(false));
     executor.stateRead(7, clock.instant().plusSeconds(60), "run", OrderState.ABSENT);
     assertThat(asksForToken(), is(false));
@@ -257,8 +257,8 @@
   void a_running_order_to_a_removed_server_still_shows_its_result(boolean lost, boolean disowned) {
     reachSend();
     executor.begin(7, true);
-    book = book.serverRemoved(SERVER);
-    executor.ordersChanged(book);
+    orderView = orderView.serverRemoved(SERVER);
+    executor.ordersChanged(orderView);
     if (disowned) {
       executor.disown(SERVER);
     }
@@ -274,7 +274,7 @@
     OrderRecord done = new OrderRecord.Ended(7, OrderOutcome.DONE);
     assertThat(executor.drain(), contains(new OrderAction.Append(done)));
     apply(done);
-    assertThat(book.find(7).orElseThrow().outcome(), is(Optional.of(OrderOutcome.DONE)));
+    assertThat(orderView.find(7).orElseThrow().outcome(), is(Optional.of(OrderOutcome.DONE)));
     assertThat(executor.orders(), is(empty()));
   }
 
@@ -283,10 +283,11 @@
     reachSend();
     executor.begin(7, true);
     executor.drain();
-    book = book.serverRemoved(SERVER);
-    book = book.apply(9, new OrderRecord.Issued("d", SERVER, load, "operator")).orElseThrow();
+    orderView = orderView.serverRemoved(SERVER);
+    orderView =
+        orderView.apply(9, new OrderRecord.Issued("d", SERVER, load, "operator")).orElseThrow();
 
-    executor.ordersChanged(book);
+    executor.ordersChanged(orderView);
 
     assertThat(executor.drain(), contains(new OrderAction.ReadState(SERVER, 9, load)));
     assertThat(executor.orders(), is(Set.of(7L, 9L)));
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderFleet.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/orders/OrderFleet.java
@@ -55,7 +55,7 @@
   final List<String> violations = new ArrayList<>();
   final Map<Long, Integer> effects = new HashMap<>();
   final List<Instant> sends = new ArrayList<>();
-  OrderBook book = OrderBook.EMPTY;
+  OrderView orderView = OrderView.EMPTY;
   private final Set<Fault> faults;
   private final Random random;
   private final boolean checksFencing;
@@ -99,10 +99,10 @@
   }
 
   private void apply(OrderRecord orderRecord) {
-    book = book.apply(nextOffset++, orderRecord).orElse(book);
+    orderView = orderView.apply(nextOffset++, orderRecord).orElse(orderView);
     for (int index = 0; index < 2; index++) {
       OrderExecutor executor = executors[index];
-      after(index, random.nextInt(100), () -> executor.ordersChanged(book));
+      after(index, random.nextInt(100), () -> executor.ordersChanged(orderView));
     }
   }
 
@@ -167,7 +167,7 @@
   private void become(int next) {
     owner = next;
     leaseEnd = Instant.MAX;
-    executors[next].ordersChanged(book);
+    executors[next].ordersChanged(orderView);
     executors[next].own(SERVER, checksFencing);
   }
 
@@ -255,7 +255,7 @@
       return;
     }
     check(!clock.instant().isAfter(send.until()), "sent late");
-    check(book.find(send.order()).orElseThrow().start().isPresent(), "sent without a record");
+    check(orderView.find(send.order()).orElseThrow().start().isPresent(), "sent without a record");
     sends.add(clock.instant());
     if (hits(Fault.LOST_ORDER)) {
       after(index, 1000, () -> executor.answerLost(send.order()));
@@ -314,11 +314,11 @@
   }
 
   boolean isAllEnded() {
-    return book.entries().stream().allMatch(entry -> entry.outcome().isPresent());
+    return orderView.entries().stream().allMatch(entry -> entry.outcome().isPresent());
   }
 
   boolean isDoneTrue() {
-    return book.entries().stream()
+    return orderView.entries().stream()
         .filter(entry -> entry.outcome().equals(Optional.of(OrderOutcome.DONE)))
         .allMatch(entry -> effects.containsKey(entry.offset()));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -55,7 +55,7 @@
   private static final int STATUS_UNAVAILABLE = 503;
 
   private final CallerServices services;
-  private final Supplier<Optional<Refusal>> gate;
+  private final Supplier<Optional<Refusal>> guard;
   private final BooleanSupplier readiness;
   private final HttpClient client;
 
@@ -63,13 +63,13 @@
    * Creates an instance.
    *
    * @param services rest of the daemon
-   * @param gate reason to refuse all new requests, while there is one
+   * @param guard reason to refuse all new requests, while there is one
    * @param readiness whether the balancer shall send requests
    */
   public CallerServer(
-      CallerServices services, Supplier<Optional<Refusal>> gate, BooleanSupplier readiness) {
+      CallerServices services, Supplier<Optional<Refusal>> guard, BooleanSupplier readiness) {
     this.services = services;
-    this.gate = gate;
+    this.guard = guard;
     this.readiness = readiness;
     this.client = BackendConnections.createClient(services.vertx());
   }
@@ -139,7 +139,7 @@
 
   /** The key is checked before the body is read, so that strangers cost little memory. */
   private void authenticate(RoutingContext context) {
-    Optional<Refusal> closed = gate.get();
+    Optional<Refusal> closed = guard.get();
     if (closed.isPresent()) {
       refuse(context, closed.get());
       return;
@@ -220,7 +220,7 @@
             body,
             answer,
             slowReader(context.request()),
-            new ClaimGate(
+            new RunOnceGuard(
                 services.claims(),
                 info,
                 Optional.ofNullable(context.request().getHeader(Headers.IDEMPOTENCY_KEY))));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -49,7 +49,7 @@
   private final AttemptLoop attempts;
   private final SlowReaderGuard slowReader;
   private final RequestJournal journal;
-  private final ClaimGate gate;
+  private final RunOnceGuard guard;
   private AttemptLoop.@Nullable Attempt current;
   private @Nullable GenerationRelay relay;
   private @Nullable GenerationId generation;
@@ -64,9 +64,9 @@
       JsonObject body,
       Answer answer,
       SlowReaderGuard slowReader,
-      ClaimGate gate) {
+      RunOnceGuard guard) {
     this.services = services;
-    this.gate = gate;
+    this.guard = guard;
     this.client = client;
     this.info = info;
     this.body = body.copy().put("stream", true).toBuffer();
@@ -85,12 +85,12 @@
 
   void start() {
     answer.onDrain(this::drained);
-    gate.claim(this::attempt, this::refuse, stored -> refuse(alreadyRan()));
+    guard.claim(this::attempt, this::refuse, stored -> refuse(alreadyRan()));
   }
 
   private void attempt() {
     if (ended) {
-      gate.ended();
+      guard.ended();
     } else {
       attempts.start();
     }
@@ -124,7 +124,7 @@
       notSent(attempt, new ConnectException("the permit expired before the request was sent"));
       return;
     }
-    gate.begin(
+    guard.begin(
         () -> write(attempt, request),
         refusal -> {
           request.reset();
@@ -136,7 +136,7 @@
   private void write(AttemptLoop.Attempt attempt, HttpClientRequest request) {
     if (!services.clock().instant().isBefore(attempt.validUntil())) {
       request.reset();
-      gate.refusedByServer();
+      guard.refusedByServer();
       notSent(attempt, new ConnectException("the permit expired before the request was sent"));
       return;
     }
@@ -202,7 +202,7 @@
     response.request().reset();
     attempts.end(attempt.permit(), AttemptEnd.REFUSED, 0);
     if (notRun) {
-      gate.refusedByServer();
+      guard.refusedByServer();
     }
     boolean callersFault =
         status >= STATUS_CLIENT_ERROR && status < STATUS_SERVER_ERROR && status != STATUS_CONFLICT;
@@ -271,7 +271,7 @@
 
   @Override
   public void completed(String finish, long tokens) {
-    gate.ranWithoutAnswer();
+    guard.ranWithoutAnswer();
     finish(AttemptEnd.COMPLETED);
     journal.ended(tokens, "whole");
     if (generation != null) {
@@ -316,7 +316,7 @@
 
   @Override
   public void refuse(Refusal refusal) {
-    gate.ended();
+    guard.ended();
     if (!ended) {
       ended = true;
       services.active().remove(info);
@@ -327,7 +327,7 @@
 
   private void finish(AttemptEnd end) {
     ended = true;
-    gate.ended();
+    guard.ended();
     slowReader.drained();
     services.active().remove(info);
     if (current != null && relay != null) {
@@ -343,7 +343,7 @@
     ended = true;
     slowReader.drained();
     services.active().remove(info);
-    gate.ended();
+    guard.ended();
     attempts.stop();
     journal.ended(relay == null ? 0 : relay.nextIndex(), "caller_left");
     leave();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
@@ -49,7 +49,7 @@
   private final ActiveRequests.Entry entry;
   private final RequestJournal journal;
   private final AttemptLoop attempts;
-  private final ClaimGate gate;
+  private final RunOnceGuard guard;
   private final Context loop = Vertx.currentContext();
   private boolean ended;
 
@@ -66,8 +66,8 @@
     this.body = body;
     this.journal = new RequestJournal(services.clock(), services.metrics(), info);
     this.entry = services.active().add(info, new Leaver());
-    this.gate =
-        new ClaimGate(
+    this.guard =
+        new RunOnceGuard(
             services.claims(),
             info,
             Optional.ofNullable(request.getHeader(Headers.IDEMPOTENCY_KEY)));
@@ -76,12 +76,12 @@
   }
 
   void start() {
-    gate.claim(this::attempt, this::refuse, this::repeat);
+    guard.claim(this::attempt, this::refuse, this::repeat);
   }
 
   private void attempt() {
     if (ended) {
-      gate.ended();
+      guard.ended();
     } else {
       attempts.start();
     }
@@ -125,7 +125,7 @@
       notSent(attempt, new ConnectException("the permit expired before the request was sent"));
       return;
     }
-    gate.begin(
+    guard.begin(
         () -> write(attempt, outgoing),
         refusal -> {
           outgoing.reset();
@@ -137,7 +137,7 @@
   private void write(AttemptLoop.Attempt attempt, HttpClientRequest outgoing) {
     if (!services.clock().instant().isBefore(attempt.validUntil())) {
       outgoing.reset();
-      gate.refusedByServer();
+      guard.refusedByServer();
       attempts.end(attempt.permit(), AttemptEnd.NOT_SENT, 0);
       refuse(
           new Refusal(
@@ -175,7 +175,7 @@
                     .confirmed(attempt.permit().shard(), attempt.permit().id(), state));
     if (response.getHeader(Headers.NOT_RUN) != null) {
       response.request().reset();
-      gate.refusedByServer();
+      guard.refusedByServer();
       attempts.end(attempt.permit(), AttemptEnd.REFUSED, 0);
       retry(attempt, false, ResultCode.BACKEND_UNAVAILABLE, "the backend server refused");
       return;
@@ -190,7 +190,7 @@
     attempts.end(attempt.permit(), AttemptEnd.COMPLETED, 1);
     String contentType =
         Optional.ofNullable(response.getHeader("Content-Type")).orElse("application/octet-stream");
-    gate.ran(response.statusCode(), contentType, content.getBytes());
+    guard.ran(response.statusCode(), contentType, content.getBytes());
     if (ended) {
       return;
     }
@@ -227,7 +227,7 @@
 
   @Override
   public void refuse(Refusal refusal) {
-    gate.ended();
+    guard.ended();
     if (!ended) {
       finish();
       journal.refused(refusal);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ClaimGate.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/RunOnceGuard.java
@@ -17,7 +17,7 @@
  *
  * <p>Confined to the event loop of the caller's connection.
  */
-final class ClaimGate {
+final class RunOnceGuard {
 
   /** A bigger answer is not kept for repeats; a repeat then gets the code "already ran". */
   private static final int MAXIMUM_STORED_BYTES = 256 * 1024;
@@ -29,7 +29,7 @@
   private boolean begun;
   private boolean settled;
 
-  ClaimGate(ClaimClient claims, RequestInfo info, Optional<String> key) {
+  RunOnceGuard(ClaimClient claims, RequestInfo info, Optional<String> key) {
     this.claims = claims;
     this.info = info;
     this.key = key.orElse("");
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ClaimService.java
@@ -31,7 +31,7 @@
 /**
  * Runs the claims of this daemon against the log and its peers. State lives on the control thread.
  */
-final class ClaimDesk implements ClaimClient, LogTailer.Listener {
+final class ClaimService implements ClaimClient, LogTailer.Listener {
 
   /** Other runs of nodes, as far as this daemon knows. */
   interface Peers {
@@ -46,7 +46,7 @@
     boolean send(ClaimId claim, PeerMessage message);
   }
 
-  private static final StructuredLog LOG = StructuredLog.of(ClaimDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(ClaimService.class);
 
   private final Vertx vertx;
   private final Clock clock;
@@ -62,7 +62,7 @@
   /** Timer that is set, and when it fires. */
   private record Wakeup(long timer, Instant at) {}
 
-  ClaimDesk(
+  ClaimService(
       Vertx vertx,
       ControlThread thread,
       Clock clock,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandService.java
@@ -40,9 +40,9 @@
 import org.cactusseam.model.message.RequestSummary;
 
 /** Carries out operators' commands. Confined to the control thread. */
-final class CommandDesk {
+final class CommandService {
 
-  private static final StructuredLog LOG = StructuredLog.of(CommandDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(CommandService.class);
 
   /** Bounds the memory for commands that never come into force, such as in a lost region. */
   private static final int MAXIMUM_UNFINISHED = 1_000;
@@ -75,7 +75,7 @@
     final Set<NodeName> inForceAt = new TreeSet<>();
   }
 
-  CommandDesk(
+  CommandService(
       Vertx vertx,
       NodeName self,
       ControlLog log,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -67,12 +67,12 @@
   private final OwnedShards owned;
   private final ShardLoads shardLoads = new ShardLoads();
   private final LoadPublisher publisher;
-  private final QuarantineDesk quarantine;
+  private final QuarantineService quarantine;
   private final PeerQueries queries;
-  private final CommandDesk commands;
-  private final ClaimDesk claims;
+  private final CommandService commands;
+  private final ClaimService claims;
   private final StoreTokens tokens;
-  private final OrderDesk orders;
+  private final OrderService orders;
   private final PeerRuns runs = new PeerRuns();
   private Member self;
   private volatile RoutingView view = RoutingView.EMPTY;
@@ -122,7 +122,7 @@
             times.takeoverLimit(),
             this::send);
     this.quarantine =
-        new QuarantineDesk(
+        new QuarantineService(
             self.node(), clock, this::send, this::sendToPeers, ownership::ownersOfPool);
     this.owned =
         new OwnedShards(
@@ -133,16 +133,16 @@
     this.cacheEvents = new CacheEventReader(poller, owned);
     this.queries = new PeerQueries(vertx, self.node(), network, localRequests);
     this.claims =
-        new ClaimDesk(
+        new ClaimService(
             vertx, thread, clock, platformLog, settings.platform(), self, this::sendToClaimant);
     this.tokens =
         new StoreTokens(
             clock, self.node(), times, settings.platform().weightStoreInterval(), this::send);
     this.orders =
-        new OrderDesk(
+        new OrderService(
             clock, self, tokens, new OrderClient(vertx), coordinator::mayGrant, log::append);
     this.commands =
-        new CommandDesk(
+        new CommandService(
             vertx, self.node(), log, inForce, restrictions, network, queries, this::changed);
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LoadProbes.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LoadProbes.java
@@ -21,7 +21,7 @@
   private final Clock clock;
   private final LoadPoller poller;
   private final OwnedShards owned;
-  private final QuarantineDesk quarantine;
+  private final QuarantineService quarantine;
   private final Supplier<ShardMap> map;
   private final Set<BackendServerName> probed = new HashSet<>();
 
@@ -29,7 +29,7 @@
       Clock clock,
       LoadPoller poller,
       OwnedShards owned,
-      QuarantineDesk quarantine,
+      QuarantineService quarantine,
       Supplier<ShardMap> map) {
     this.clock = clock;
     this.poller = poller;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderReport.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderReport.java
@@ -4,7 +4,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.cactusseam.logic.control.ControlState;
-import org.cactusseam.logic.orders.OrderBook;
+import org.cactusseam.logic.orders.OrderView;
 import org.cactusseam.logic.query.AnswerTable;
 import org.cactusseam.logic.query.Command;
 import org.cactusseam.model.control.ServerOrder;
@@ -34,13 +34,13 @@
     };
   }
 
-  static AnswerTable table(OrderBook book) {
+  static AnswerTable table(OrderView orderView) {
     return new AnswerTable(
         List.of("order", "command", "server", "kind", "name", "state", "by"),
-        book.entries().stream().map(OrderReport::row).toList());
+        orderView.entries().stream().map(OrderReport::row).toList());
   }
 
-  private static List<AnswerTable.Cell> row(OrderBook.Entry entry) {
+  private static List<AnswerTable.Cell> row(OrderView.Entry entry) {
     return AnswerTable.row(
         entry.offset(),
         entry.commandId(),
@@ -59,7 +59,7 @@
    * @return message, or empty if the command is not an order to a backend server
    */
   static Optional<String> progress(ControlState state, String commandId) {
-    Optional<OrderBook.Entry> kept =
+    Optional<OrderView.Entry> kept =
         state.orders().entries().stream()
             .filter(entry -> entry.commandId().equals(commandId))
             .findFirst();
@@ -72,11 +72,11 @@
                     .map(offset -> "order " + offset + ": over and no longer kept"));
   }
 
-  private static String message(OrderBook.Entry entry) {
+  private static String message(OrderView.Entry entry) {
     return "order " + entry.offset() + " to " + entry.server() + ": " + state(entry);
   }
 
-  private static String state(OrderBook.Entry entry) {
+  private static String state(OrderView.Entry entry) {
     return entry
         .outcome()
         .map(outcome -> outcome.name().toLowerCase(Locale.ROOT))
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OrderService.java
@@ -16,8 +16,8 @@
 import org.cactusseam.logic.control.ControlState;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.orders.OrderAction;
-import org.cactusseam.logic.orders.OrderBook;
 import org.cactusseam.logic.orders.OrderExecutor;
+import org.cactusseam.logic.orders.OrderView;
 import org.cactusseam.model.BackendKind;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
@@ -29,9 +29,9 @@
  * Carries out the orders to the engines of the shards that this daemon owns. Confined to the
  * control thread.
  */
-final class OrderDesk {
+final class OrderService {
 
-  private static final StructuredLog LOG = StructuredLog.of(OrderDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(OrderService.class);
 
   private final Clock clock;
   private final OrderClient client;
@@ -44,11 +44,11 @@
   /** Servers of the orders in hand; a followed order needs it when the server is removed. */
   private final Map<Long, BackendServer> receivers = new HashMap<>();
 
-  private OrderBook book = OrderBook.EMPTY;
+  private OrderView orderView = OrderView.EMPTY;
 
   private record Target(ShardId shard, BackendServer server) {}
 
-  OrderDesk(
+  OrderService(
       Clock clock,
       Member self,
       StoreTokens tokens,
@@ -70,9 +70,9 @@
    */
   void applied(ControlState state) {
     tokens.applied(state.membership());
-    if (state.orders() != book) {
-      book = state.orders();
-      executor.ordersChanged(book);
+    if (state.orders() != orderView) {
+      orderView = state.orders();
+      executor.ordersChanged(orderView);
       perform();
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -46,7 +46,7 @@
   private final Predicate<ShardId> mayGrant;
   private final PermitRouter.Sender sender;
   private final Map<ShardId, AdmissionShard> shards = new TreeMap<>();
-  private final QuarantineDesk quarantine;
+  private final QuarantineService quarantine;
   private final Map<PermitRequestId, Integer> rounds = new HashMap<>();
   private final Map<PermitRequestId, String> fingerprints = new HashMap<>();
   private final Map<ShardId, Map<PermitRequestId, Instant>> granted = new HashMap<>();
@@ -56,7 +56,7 @@
       AdmissionSettings settings,
       Predicate<ShardId> mayGrant,
       PermitRouter.Sender sender,
-      QuarantineDesk quarantine) {
+      QuarantineService quarantine) {
     this.quarantine = quarantine;
     this.clock = clock;
     this.settings = settings;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/QuarantineDesk.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/QuarantineService.java
@@ -30,9 +30,9 @@
  *
  * <p>Owned by the control thread.
  */
-final class QuarantineDesk {
+final class QuarantineService {
 
-  private static final StructuredLog LOG = StructuredLog.of(QuarantineDesk.class);
+  private static final StructuredLog LOG = StructuredLog.of(QuarantineService.class);
 
   private final Clock clock;
   private final QuarantineTable table;
@@ -57,7 +57,7 @@
    * @param toAllPeers sends a message to all peers
    * @param ownersOfPool owners of all shards of a shard's pool
    */
-  QuarantineDesk(
+  QuarantineService(
       NodeName node,
       Clock clock,
       PermitRouter.Sender sender,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -17,11 +17,11 @@
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.Departures;
 import org.cactusseam.logic.gateway.EngineReports;
-import org.cactusseam.logic.gateway.LoadBoard;
 import org.cactusseam.logic.gateway.Placement;
 import org.cactusseam.logic.gateway.RetryBudget;
 import org.cactusseam.logic.gateway.RouteTable;
 import org.cactusseam.logic.gateway.ServerHealth;
+import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.logic.gateway.ServerTable;
 import org.cactusseam.logic.gateway.WaitingLine;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -42,7 +42,7 @@
   private final HttpClient client;
   private final RouteTable routes = new RouteTable();
   private final ServerTable servers = new ServerTable();
-  private final LoadBoard loads = new LoadBoard();
+  private final ServerLoads loads = new ServerLoads();
   private final ServerHealth health = new ServerHealth();
   private final Departures departures = new Departures();
   private final EngineReports reports = new EngineReports();
@@ -119,7 +119,7 @@
     return servers;
   }
 
-  LoadBoard loads() {
+  ServerLoads loads() {
     return loads;
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -1,7 +1,7 @@
 package org.cactusseam.edge.gateway;
 
 import java.util.Map;
-import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.model.gateway.StoreRecord;
 
 /** Messages between gateways. Each one may be lost; the next one replaces it. */
@@ -13,7 +13,7 @@
    * @param node gateway
    * @param loads load by server
    */
-  record Loads(String node, Map<String, LoadBoard.ServerLoad> loads) implements GatewayMessage {}
+  record Loads(String node, Map<String, ServerLoads.ServerLoad> loads) implements GatewayMessage {}
 
   /**
    * A gateway cannot read the store and asks for its records.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cactusseam.edge.peer.PeerCodec;
-import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -72,7 +72,7 @@
   private static void write(MessageBufferPacker packer, GatewayMessage.Loads loads)
       throws IOException {
     packer.packInt(LOADS).packString(loads.node()).packInt(loads.loads().size());
-    for (Map.Entry<String, LoadBoard.ServerLoad> load : loads.loads().entrySet()) {
+    for (Map.Entry<String, ServerLoads.ServerLoad> load : loads.loads().entrySet()) {
       packer
           .packString(load.getKey())
           .packInt(load.getValue().runs())
@@ -129,11 +129,11 @@
   private static GatewayMessage readLoads(MessageUnpacker unpacker) throws IOException {
     String node = unpacker.unpackString();
     int number = unpacker.unpackInt();
-    Map<String, LoadBoard.ServerLoad> loads = new HashMap<>();
+    Map<String, ServerLoads.ServerLoad> loads = new HashMap<>();
     for (int index = 0; index < number; index++) {
       loads.put(
           unpacker.unpackString(),
-          new LoadBoard.ServerLoad(
+          new ServerLoads.ServerLoad(
               unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt()));
     }
     return new GatewayMessage.Loads(node, loads);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -17,9 +17,9 @@
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.FrameReader;
 import org.cactusseam.logic.gateway.Departures;
-import org.cactusseam.logic.gateway.LoadBoard;
 import org.cactusseam.logic.gateway.LoadNews;
 import org.cactusseam.logic.gateway.PeerPresence;
+import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.model.gateway.ServerInstance;
 
 /**
@@ -101,7 +101,7 @@
   }
 
   private void sendLoads(Instant now) {
-    Map<String, LoadBoard.ServerLoad> loads = gateway.loads().own();
+    Map<String, ServerLoads.ServerLoad> loads = gateway.loads().own();
     int others = presence.connectedCount();
     if (news.isDue(loads, others, now)) {
       news.told(loads, others, now);
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.cactusseam.edge.peer.PeerCodec;
-import org.cactusseam.logic.gateway.LoadBoard;
+import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -19,7 +19,8 @@
 
   static Stream<GatewayMessage> messages() {
     return Stream.of(
-        new GatewayMessage.Loads("vm-1", Map.of("e-1", new LoadBoard.ServerLoad(3, 9_000, 2_200))),
+        new GatewayMessage.Loads(
+            "vm-1", Map.of("e-1", new ServerLoads.ServerLoad(3, 9_000, 2_200))),
         new GatewayMessage.RecordsWanted("vm-1"),
         new GatewayMessage.RecordsFollow("vm-2"),
         new GatewayMessage.RecordOffered("vm-1", "topic", "key", 7),
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/FaultBoard.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/FaultSettings.java
@@ -9,7 +9,7 @@
  *
  * @param <F> record of faults
  */
-public final class FaultBoard<F extends Record & Faults> {
+public final class FaultSettings<F extends Record & Faults> {
 
   /** Value of a counted fault that never ends. */
   public static final int ALWAYS = -1;
@@ -18,11 +18,11 @@
   private F current;
 
   /**
-   * Creates the board.
+   * Creates the settings.
    *
    * @param initial faults in force from the start
    */
-  public FaultBoard(F initial) {
+  public FaultSettings(F initial) {
     this.initial = initial;
     current = initial;
   }
--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/StandIn.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/StandIn.java
@@ -27,7 +27,7 @@
   private static final int NOT_LISTENING = -1;
 
   /** Faults in force. */
-  protected final FaultBoard<F> faults;
+  protected final FaultSettings<F> faults;
 
   private final Endpoint endpoint;
   private final List<RoutingContext> held = new ArrayList<>();
@@ -44,7 +44,7 @@
   @SuppressWarnings("NullAway.Init") // the port needs the Vert.x instance of the deployment
   protected StandIn(Endpoint endpoint, F initialFaults) {
     this.endpoint = endpoint;
-    faults = new FaultBoard<>(initialFaults);
+    faults = new FaultSettings<>(initialFaults);
   }
 
   @Override
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/EngineOrdersTest.java
@@ -8,7 +8,7 @@
 import java.net.http.HttpRequest;
 import java.time.Duration;
 import java.util.UUID;
-import org.cactusseam.logic.orders.OrderBook;
+import org.cactusseam.logic.orders.OrderView;
 import org.cactusseam.standin.Json;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -167,12 +167,12 @@
     String id = UUID.randomUUID().toString();
     system.command("entry-1", "load adapter \"early\" on server checked", id);
     awaitState("entry-1", id, "done");
-    for (int number = 0; number < OrderBook.MAXIMUM_ENTRIES; number++) {
+    for (int number = 0; number < OrderView.MAXIMUM_ENTRIES; number++) {
       long order = appendOrder("later-" + number);
       append("{\"type\":\"order_ended\",\"order\":" + order + ",\"outcome\":\"DONE\"}");
     }
 
-    awaitState("entry-2", "later-" + (OrderBook.MAXIMUM_ENTRIES - 1), "done");
+    awaitState("entry-2", "later-" + (OrderView.MAXIMUM_ENTRIES - 1), "done");
     assertThat(
         system.command("entry-2", "show command " + id), containsString("over and no longer kept"));
   }
