Encode messages to other gateways only if somebody gets them

The report of an engine no longer carries two numbers that nothing used. RecordOffers has a name that does not hide java.lang.Record. No behaviour changes.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RecordOffers.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RecordOffers.java
@@ -26,7 +26,7 @@
   /** Offers that nobody answers are forgotten; a subscription brings the record then. */
   private static final Duration KEPT = Duration.ofSeconds(10);
 
-  private final Map<Record, Offer> offers = new HashMap<>();
+  private final Map<Key, Offer> offers = new HashMap<>();
 
   /**
    * What is offered.
@@ -58,7 +58,7 @@
     boolean isKnown(Offered offered);
   }
 
-  private record Record(String topic, String key) {}
+  private record Key(String topic, String key) {}
 
   private static final class Offer {
     private final long offset;
@@ -81,11 +81,11 @@
    * @param now time
    */
   public void offered(String node, Offered offered, Instant now) {
-    Record record = new Record(offered.topic(), offered.key());
-    Offer known = offers.get(record);
+    Key key = new Key(offered.topic(), offered.key());
+    Offer known = offers.get(key);
     if (known == null || known.offset < offered.offset()) {
       known = new Offer(offered.offset(), now);
-      offers.put(record, known);
+      offers.put(key, known);
     }
     if (known.offset == offered.offset()) {
       known.untried.add(node);
@@ -108,14 +108,13 @@
                     || entry.getValue().since.plus(KEPT).isBefore(now));
     List<Fetch> due = new ArrayList<>();
     offers.forEach(
-        (record, offer) ->
-            fetch(offer, now)
-                .ifPresent(node -> due.add(new Fetch(node, record.topic(), record.key()))));
+        (key, offer) ->
+            fetch(offer, now).ifPresent(node -> due.add(new Fetch(node, key.topic(), key.key()))));
     return due;
   }
 
-  private static Offered offered(Record record, Offer offer) {
-    return new Offered(record.topic(), record.key(), offer.offset);
+  private static Offered offered(Key key, Offer offer) {
+    return new Offered(key.topic(), key.key(), offer.offset);
   }
 
   private static Optional<String> fetch(Offer offer, Instant now) {
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineReport.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/EngineReport.java
@@ -11,8 +11,6 @@
  * @param leaving whether it takes no further requests
  * @param memoryUsed tokens of runs and copies that cannot be evicted
  * @param memoryTotal tokens that fit into its memory
- * @param running requests that it runs
- * @param waiting requests that it has accepted and does not run yet
  * @param runTokens tokens in memory of each run, by the identity of its attempt
  */
 public record EngineReport(
@@ -20,8 +18,6 @@
     boolean leaving,
     int memoryUsed,
     int memoryTotal,
-    int running,
-    int waiting,
     Map<String, Integer> runTokens) {
 
   /** Copies the map. */
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
@@ -35,7 +35,7 @@
   }
 
   static EngineReport report(int memoryUsed) {
-    return new EngineReport(Optional.empty(), false, memoryUsed, 30_000, 0, 0, Map.of());
+    return new EngineReport(Optional.empty(), false, memoryUsed, 30_000, Map.of());
   }
 
   static ServerInstance leaving(ServerInstance server) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -11,6 +11,7 @@
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -199,7 +200,10 @@
     }
 
     @Override
-    public void send(Iterable<String> nodes, GatewayMessage message) {
+    public void send(Collection<String> nodes, GatewayMessage message) {
+      if (nodes.isEmpty()) {
+        return;
+      }
       Buffer frame = GatewayMessageCodec.encode(message);
       for (String node : nodes) {
         GatewayPeerLink link = links.get(node);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordExchange.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -71,7 +72,7 @@
      * @param nodes names
      * @param message message
      */
-    void send(Iterable<String> nodes, GatewayMessage message);
+    void send(Collection<String> nodes, GatewayMessage message);
   }
 
   RecordExchange(Clock clock, String self, RecordRelay relay, Peers peers) {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/RecordExchangeTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/RecordExchangeTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -120,7 +121,7 @@
     }
 
     @Override
-    public void send(Iterable<String> receivers, GatewayMessage message) {
+    public void send(Collection<String> receivers, GatewayMessage message) {
       int bytes = GatewayMessageCodec.encode(message).length();
       for (String node : receivers) {
         betweenRegions += isOwnRegion(node) ? 0 : bytes;
