Close a port of a stand-in that opened after a refusal had begun

Cause: a caller can connect as soon as the socket is open, before the event loop knows of it. A refusal that began in that moment closed the servers that were known, and the new one stayed open. ServicePortTest puts both into one turn of the event loop; it failed on the code before and passes now. Ruled out: refusals that the paused test missed; the fault lasted 4 s and the test asks every few ms.

The test and its times are unchanged.

--- a/cactusseam-standins/src/main/java/org/cactusseam/standin/ServicePort.java
+++ b/cactusseam-standins/src/main/java/org/cactusseam/standin/ServicePort.java
@@ -66,6 +66,10 @@
             listening -> {
               servers.add(listening);
               port = listening.actualPort();
+              if (!closedFor.isEmpty()) {
+                // The refusal began after the socket was open and before this was known.
+                shutDown(listening);
+              }
               return port;
             });
   }
@@ -83,11 +87,14 @@
   /** Closes the socket; requests that run keep their connections. */
   void drain(Reason reason) {
     if (closedFor.add(reason)) {
-      List<HttpServer> draining = List.copyOf(servers);
-      draining.forEach(server -> server.shutdown(LONGEST_DRAIN_MINUTES, TimeUnit.MINUTES));
+      List.copyOf(servers).forEach(ServicePort::shutDown);
     }
   }
 
+  private static void shutDown(HttpServer server) {
+    server.shutdown(LONGEST_DRAIN_MINUTES, TimeUnit.MINUTES);
+  }
+
   /** Removes a reason and listens again if it was the last one. */
   void reopen(Reason reason) {
     if (closedFor.remove(reason) && closedFor.isEmpty()) {
