--- a/review/standins/GatewayProgram.java
+++ b/review/standins/GatewayProgram.java
@@ -12,6 +12,8 @@
 /** A gateway as a separate process, started with the command of the deploy file. */
 final class GatewayProgram implements AutoCloseable {
 
+  private static final int MAX_STARTS = 4;
+
   private final Path repository;
   private final Path folder;
   private final String node;
@@ -85,8 +87,21 @@
             local + storePort);
   }
 
-  /** Starts the process and waits until it is ready. */
+  /**
+   * Starts the process and waits until it is ready. Starts it again with other ports if another
+   * process has taken one of them meanwhile.
+   */
   void start() throws IOException, InterruptedException {
+    for (int attempt = 1; !startOnce(); attempt++) {
+      if (attempt == MAX_STARTS) {
+        throw new IOException("the gateway did not become ready");
+      }
+      close();
+      choosePorts();
+    }
+  }
+
+  private boolean startOnce() throws IOException, InterruptedException {
     Path file = folder.resolve(node + ".json");
     Files.writeString(file, settings());
     List<String> command = new ArrayList<>();
@@ -106,10 +121,11 @@
     long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
     while (!isReady()) {
       if (System.nanoTime() > limit || !process.isAlive()) {
-        throw new IOException("the gateway did not become ready");
+        return false;
       }
       Thread.sleep(50);
     }
+    return true;
   }
 
   boolean isReady() {
