--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
   echo "run deploy/build.sh and review/build.sh first" >&2
   exit 2
 fi
-exec target/runtime/bin/java -cp target/review CrashingStream "review/1"
+exec target/runtime/bin/java -cp target/review UnreadableEntry "review/1"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
   echo "run deploy/build.sh and review/build.sh first" >&2
   exit 2
 fi
-exec target/runtime/bin/java -cp target/review CrashingLookup "review/5"
+exec target/runtime/bin/java -cp target/review AcceptedDuringStop "review/5"
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -63,6 +63,7 @@
   private final long born = System.currentTimeMillis();
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean listed = true;
+  private volatile boolean draining;
   private int sequence;
 
   Worker(Store store, String id, String service, int slots, Script script) throws IOException {
@@ -78,7 +79,7 @@
 
   private void beat() {
     while (listed && !listener.isClosed()) {
-      publish("ready");
+      publish(draining ? "draining" : "ready");
       try {
         Thread.sleep(HEARTBEAT_MILLIS);
       } catch (InterruptedException e) {
@@ -87,7 +88,13 @@
     }
   }
 
-  synchronized void publish(String state) {
+  /** Reports that the worker leaves. It goes on serving. */
+  void drain() {
+    draining = true;
+    publish("draining");
+  }
+
+  private synchronized void publish(String state) {
     store.put(
         "keyed.servers",
         id,
