--- a/review/standins/AcceptedDuringStop.java
+++ b/review/standins/AcceptedDuringStop.java
@@ -9,11 +9,11 @@
 
 /**
  * A gateway that has got SIGTERM accepts short streams on kept connections about 6 s later. The
- * engine is sound and half full; it reads one prompt after the other, 14 tokens in a millisecond.
+ * engine is sound and has free slots; it reads one prompt after the other, 14 tokens in a millisecond.
  */
 final class AcceptedDuringStop {
 
-  private static final int CLIENTS = 12;
+  private static final int CLIENTS = 14;
   private static final int PROMPT_TOKENS = 2_200;
   private static final int TOKENS_PER_MILLISECOND = 14;
   private static final int EVENTS = 3;
@@ -109,7 +109,7 @@
                   Caller.Answer answer = caller.read(7_000);
                   return new Result(attempt, sentAt, millis(), answer);
                 }));
-        Thread.sleep(50);
+        Thread.sleep(40);
       }
       int lost = 0;
       for (Future<Result> each : results) {
