Answer each request that a stopping gateway has read

Cause: a stop only noted its time. A request may wait for a quarter of its time limit, 9.75 s of 39 s, which is longer than the process lives, and the exit closed the connections of all open requests. That a request waits was no input of the drain policy, which saw requests only when they arrived. The class is a request in any state that the exit found open, not only in the queue.

Change: - A request waits in a stopping gateway only if its time limit ends before the exit. Others are refused at the signal, or when they would join the queue: they have not run, and other VMs share the servers. - At the exit each open request without the head of an answer gets 503 if it was never sent, and 502 if it may have run. - The exit waits for responses that the operating system has not taken, and for bodies that are still being sent, up to the same time limit. A caller that does not read no longer delays the exit. - What arrives after the last check is refused, not sent to a server.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/DrainPolicy.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/DrainPolicy.java
@@ -51,6 +51,20 @@
         || demand.map(DrainPolicy::longestRunTime).orElse(route.timeout()).compareTo(untilEnd) <= 0;
   }
 
+  /**
+   * Returns whether a request may wait for a server, for the load pattern in which every server is
+   * busy when the gateway is stopped. A request that waits has not run, so its caller can be told
+   * to try another VM; one that is still waiting when the process exits would be cut off. Both
+   * times pass equally fast, so the answer does not change while the request waits.
+   *
+   * @param untilDeadline time until the time limit of the request ends
+   * @param untilExit time until the process exits
+   * @return whether the request is answered or refused before the exit at the latest
+   */
+  public static boolean isWaitingAllowed(Duration untilDeadline, Duration untilExit) {
+    return untilDeadline.compareTo(untilExit) <= 0;
+  }
+
   private static Duration longestRunTime(GenerationDemand demand) {
     return FIRST_EVENT_TIME.plusMillis(demand.maximumOutputTokens() * MILLIS_PER_TOKEN);
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -70,13 +70,13 @@
   }
 
   @Override
-  void onQueueTimeout() {
+  void endUnserved(String reason) {
     if (failure != null) {
       deliver(failure);
-    } else if (runs > 0) {
-      failMayHaveRun("no server for another attempt");
+    } else if (runs == 0) {
+      refuse(reason);
     } else {
-      refuse("all servers are busy");
+      failMayHaveRun(reason);
     }
   }
 
@@ -107,12 +107,8 @@
         && gateway.tryRetry(service.name())) {
       log.info("retry", field("after", attempted.id()), field("reason", reason));
       sendOrEnqueue();
-    } else if (failure != null) {
-      deliver(failure);
-    } else if (runs == 0) {
-      refuse(reason);
     } else {
-      failMayHaveRun(reason);
+      endUnserved(reason);
     }
   }
 
@@ -129,8 +125,7 @@
         .headers()
         .addAll(gateway.headerCodec().responseHeaders(complete.response().headers()));
     addCloseHeader();
-    incoming.response().end(complete.body());
-    closeIfAnnounced();
+    endResponse(complete.body());
   }
 
   /** One attempt of the request at one server. */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.logic.gateway.DrainPolicy;
 import org.cactusseam.logic.gateway.RequestQueue;
 import org.cactusseam.logic.gateway.RouteDecision;
 import org.cactusseam.logic.gateway.ServerSelector;
@@ -60,6 +61,11 @@
   /** Value of {@code Retry-After} in refusals. Capacity becomes free within about 1 s. */
   private static final Duration RETRY_AFTER = Duration.ofMillis(800);
 
+  /** Other VMs accept the request at once. */
+  static final Duration RETRY_AFTER_DRAINING = Duration.ofMillis(50);
+
+  static final String SHUTDOWN_REASON = "this VM shuts down";
+
   private static final int STATUS_UNAVAILABLE = 503;
   private static final int STATUS_BAD_GATEWAY = 502;
   private static final int STATUS_GATEWAY_TIMEOUT = 504;
@@ -137,6 +143,27 @@
             .vertx()
             .setTimer(Math.max(1, maximumQueueTime().toMillis()), timer -> handleQueueTimeout());
     gateway.startQueued(queue);
+    endIfWaitingPastExit();
+  }
+
+  /**
+   * Ends the request if it waits for a server and could still wait when a draining gateway exits.
+   */
+  final void endIfWaitingPastExit() {
+    if (queueEntry != null
+        && gateway.isDraining()
+        && !DrainPolicy.isWaitingAllowed(remainingTime(), gateway.timeUntilExit())) {
+      endUnserved(SHUTDOWN_REASON);
+    }
+  }
+
+  /**
+   * Ends the request because the process exits. Without this the exit would close the connection,
+   * from which the caller cannot tell whether the request has run.
+   */
+  final void endBeforeExit() {
+    endUnserved(SHUTDOWN_REASON);
+    cancel();
   }
 
   private RequestQueue.Claim queueClaim() {
@@ -181,7 +208,7 @@
     if (!finished && queueEntry != null) {
       gateway.queue(service.name()).remove(queueEntry);
       queueEntry = null;
-      onQueueTimeout();
+      endUnserved("all servers are busy");
     }
   }
 
@@ -237,8 +264,13 @@
   /** Returns whether a server has begun to answer the request. */
   abstract boolean hasBegun();
 
-  /** Called when no server had capacity within the queue time. */
-  abstract void onQueueTimeout();
+  /**
+   * Ends the request before its time limit although no server has completed it. The caller learns
+   * that it has not run if no attempt was sent.
+   *
+   * @param reason reason for the caller and the log
+   */
+  abstract void endUnserved(String reason);
 
   /** Called when the time limit of the route or of the caller has passed. */
   abstract void onDeadline();
@@ -401,7 +433,8 @@
       return;
     }
     HttpServerResponse response = incoming.response();
-    response.putHeader("Retry-After", Double.toString(RETRY_AFTER.toMillis() / MILLIS_PER_SECOND));
+    Duration retryAfter = gateway.isDraining() ? RETRY_AFTER_DRAINING : RETRY_AFTER;
+    response.putHeader("Retry-After", Double.toString(retryAfter.toMillis() / MILLIS_PER_SECOND));
     fail(STATUS_UNAVAILABLE, reason, "refused");
   }
 
@@ -422,7 +455,18 @@
     logEnd(outcome, status, reason);
     finish();
     addCloseHeader();
-    incoming.response().setStatusCode(status).putHeader("Content-Type", "text/plain").end(reason);
+    incoming.response().setStatusCode(status).putHeader("Content-Type", "text/plain");
+    endResponse(Buffer.buffer(reason));
+  }
+
+  /**
+   * Ends the response, and closes the connection if the response announced it. The gateway does not
+   * exit before the response is written.
+   *
+   * @param content rest of the response body
+   */
+  final void endResponse(Buffer content) {
+    gateway.trackWrite(incoming.response().end(content));
     closeIfAnnounced();
   }
 
@@ -455,7 +499,7 @@
    * the caller may have sent its next request already, which the close would cut off; that request
    * is answered and the close announced with it.
    */
-  final void closeIfAnnounced() {
+  private void closeIfAnnounced() {
     if (closeAnnounced) {
       incoming.connection().close();
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.time.Clock;
@@ -53,6 +54,7 @@
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> active = new LinkedHashSet<>();
   private int vmCount = 1;
+  private int pendingWrites;
   private Optional<Instant> drainingSince = Optional.empty();
 
   /**
@@ -213,6 +215,20 @@
     active.remove(exchange);
   }
 
+  /**
+   * Counts the end of a response as pending until the operating system has taken all of it.
+   *
+   * @param written completes when the response is written, or its connection has failed
+   */
+  void trackWrite(Future<Void> written) {
+    pendingWrites++;
+    written.onComplete(ignored -> pendingWrites--);
+  }
+
+  boolean hasPendingWrites() {
+    return pendingWrites > 0;
+  }
+
   List<Exchange> active() {
     return List.copyOf(active);
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -34,6 +34,12 @@
    */
   private static final Duration BALANCER_REMOVAL_DELAY = Duration.ofMillis(3_200);
 
+  /** Time for the answers that are given when the time to drain is up to reach their callers. */
+  private static final Duration LAST_WRITES_TIMEOUT = Duration.ofMillis(100);
+
+  /** Time within which the connections are closed; the process exits in any case. */
+  private static final long CLOSE_TIMEOUT_MILLIS = 50;
+
   private final Gateway gateway;
   private final GatewayServer server;
   private final RecordCache recordCache;
@@ -96,15 +102,34 @@
   }
 
   private void exitIfDrained() {
+    boolean isTimeUp = !gateway.timeUntilExit().isPositive();
+    if (isTimeUp) {
+      endOpenRequests();
+    }
     boolean isIdle =
-        gateway.active().isEmpty() && gateway.timeDraining().compareTo(BALANCER_REMOVAL_DELAY) >= 0;
-    if (isIdle || !gateway.timeUntilExit().isPositive()) {
+        gateway.active().isEmpty()
+            && !server.isReadingBody()
+            && gateway.timeDraining().compareTo(BALANCER_REMOVAL_DELAY) >= 0;
+    if ((isTimeUp || isIdle) && isEverythingWritten()) {
       closing = true;
-      LOG.info("stopped", field("open_requests", gateway.active().size()));
+      LOG.info("stopped", field("unwritten_responses", gateway.hasPendingWrites()));
+      gateway.vertx().setTimer(CLOSE_TIMEOUT_MILLIS, timer -> exit.run());
       server.close().onComplete(closed -> exit.run());
     }
   }
 
+  private boolean isEverythingWritten() {
+    return !gateway.hasPendingWrites()
+        || gateway.timeUntilExit().plus(LAST_WRITES_TIMEOUT).isNegative();
+  }
+
+  private void endOpenRequests() {
+    if (!gateway.active().isEmpty()) {
+      LOG.info("requests_cut_off", field("open_requests", gateway.active().size()));
+      gateway.active().forEach(Exchange::endBeforeExit);
+    }
+  }
+
   /**
    * Starts the graceful shutdown: the gateway reports that it is not ready, and the process exits
    * when its active requests have ended.
@@ -113,6 +138,7 @@
     if (!gateway.isDraining()) {
       LOG.info("draining", field("open_requests", gateway.active().size()));
       gateway.drain();
+      gateway.active().forEach(Exchange::endIfWaitingPastExit);
     }
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -43,15 +43,15 @@
   private static final int STATUS_TOO_LARGE = 413;
   private static final int STATUS_UNAVAILABLE = 503;
   private static final String RETRY_AFTER_NOT_CONFIGURED = "0.5";
-
-  /** Other VMs accept the request at once. */
-  private static final String RETRY_AFTER_DRAINING = "0.05";
+  private static final double MILLIS_PER_SECOND = 1_000;
 
   private final Gateway gateway;
   private final HttpServer callers;
   private final HttpServer readiness;
   private final HttpServer metrics;
   private final IdleConnections<HttpConnection> idleConnections = new IdleConnections<>();
+  private int bodiesBeingRead;
+  private boolean closing;
 
   GatewayServer(Gateway gateway) {
     this.gateway = gateway;
@@ -85,9 +85,15 @@
   }
 
   Future<Void> close() {
+    closing = true;
     return callers.close();
   }
 
+  /** Returns whether the head of a request has arrived whose body is not complete yet. */
+  boolean isReadingBody() {
+    return bodiesBeingRead > 0;
+  }
+
   /** Closes caller connections that have exceeded the configured idle timeout. */
   void tick(Instant now) {
     Duration limit = gateway.routes().limits().idleTimeout();
@@ -115,6 +121,11 @@
   }
 
   private void receive(HttpServerRequest request) {
+    if (closing) {
+      // The process may exit at any moment, so the request must not reach a server.
+      rejectForShutdown(request);
+      return;
+    }
     Instant receivedAt = gateway.clock().instant();
     HttpConnection connection = request.connection();
     idleConnections.recordRequestStart(connection);
@@ -123,8 +134,10 @@
         .endHandler(
             ended -> idleConnections.recordRequestEnd(connection, gateway.clock().instant()));
     BodyReader reader = new BodyReader(request, gateway.routes().limits().bodyBytes());
+    bodiesBeingRead++;
     reader
         .read()
+        .onComplete(read -> bodiesBeingRead--)
         .onSuccess(
             body -> {
               if (body.isEmpty()) {
@@ -168,12 +181,7 @@
     if (gateway.isDraining()
         && !DrainPolicy.isServable(
             accepted.route(), head.demand(), gateway.timeDraining(), gateway.timeUntilExit())) {
-      request
-          .response()
-          .putHeader("Retry-After", RETRY_AFTER_DRAINING)
-          .putHeader("Connection", "close");
-      reject(request, STATUS_UNAVAILABLE, "this VM shuts down");
-      request.connection().close();
+      rejectForShutdown(request);
       return;
     }
     Exchange exchange =
@@ -199,6 +207,17 @@
     return Optional.empty();
   }
 
+  private void rejectForShutdown(HttpServerRequest request) {
+    request
+        .response()
+        .putHeader(
+            "Retry-After",
+            Double.toString(Exchange.RETRY_AFTER_DRAINING.toMillis() / MILLIS_PER_SECOND))
+        .putHeader("Connection", "close");
+    reject(request, STATUS_UNAVAILABLE, Exchange.SHUTDOWN_REASON);
+    request.connection().close();
+  }
+
   private void reject(HttpServerRequest request, int status, String reason) {
     gateway.metrics().increment("cactusseam_rejected_total{status=\"" + status + "\"}");
     LOG.info(
@@ -208,6 +227,7 @@
         field("host", request.authority()),
         field("path", request.path()),
         field("configuration", gateway.routes().version().orElse(-1L)));
-    request.response().setStatusCode(status).putHeader("Content-Type", "text/plain").end(reason);
+    request.response().setStatusCode(status).putHeader("Content-Type", "text/plain");
+    gateway.trackWrite(request.response().end(reason));
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -114,8 +114,7 @@
     writeHead(run);
     logStream("answered", "whole");
     finish();
-    response.end();
-    closeIfAnnounced();
+    endResponse(Buffer.buffer());
   }
 
   private void logStream(String outcome, String reason) {
@@ -146,8 +145,7 @@
     response.setStatusCode(status);
     response.headers().addAll(run.responseHeaders());
     addCloseHeader();
-    response.end(content);
-    closeIfAnnounced();
+    endResponse(content);
   }
 
   /** Called when the server has not run the request and will not run it. */
@@ -164,7 +162,7 @@
       log.info("retry", field("after", run.server().id()), field("reason", reason));
       sendOrEnqueue();
     } else {
-      endWithError(reason);
+      endUnserved(reason);
     }
   }
 
@@ -191,7 +189,7 @@
       log.info("resumed", field("after", run.server().id()), field("reason", reason));
       sendOrEnqueue();
     } else {
-      endWithError(reason);
+      endUnserved(reason);
     }
   }
 
@@ -225,7 +223,8 @@
     start(copy.holder(), Optional.of(copy.continuation()));
   }
 
-  private void endWithError(String reason) {
+  @Override
+  void endUnserved(String reason) {
     if (headWritten) {
       abortResponse(reason);
     } else if (runs == 0) {
@@ -255,11 +254,6 @@
     return headWritten;
   }
 
-  @Override
-  void onQueueTimeout() {
-    endWithError("all servers are busy");
-  }
-
   @Override
   void onDeadline() {
     if (headWritten) {
