--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.cactusseam.edge.IsolatedAction;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.LeavingServers;
 import org.cactusseam.model.gateway.GatewayConfiguration;
@@ -79,26 +80,42 @@
     return server.listen().compose(opened -> peers.listen());
   }
 
+  /**
+   * Runs the periodic work. A step that fails must not keep back the others, the end of the process
+   * least of all.
+   */
   private void tick() {
     Instant now = gateway.clock().instant();
+    runStep("servers", () -> expireServers(now));
+    runStep("selection", gateway.serverSelector()::tick);
+    runStep("peers", () -> peers.tick(now));
+    runStep("quarantine", () -> gateway.quarantine().tick(convictionStore, now));
+    runStep("connections", () -> checkIdleConnections(now));
+    runStep("reports", () -> reportPoller.tick(recordCache.isStoreUnavailable(), now));
+    gateway.active().forEach(exchange -> runStep("request", () -> exchange.tick(now)));
+    runStep("queues", gateway::startQueued);
+    if (gateway.isDraining() && !closing) {
+      runStep("exit", this::exitIfDrained);
+    }
+  }
+
+  private void runStep(String step, Runnable action) {
+    IsolatedAction.run(LOG, "step_failed", field("step", step), action);
+  }
+
+  private void expireServers(Instant now) {
     gateway
         .servers()
         .tick(now)
         .forEach(server -> gateway.recordDeparture(server, LeavingServers.Source.ENTRY_GONE));
     gateway.leavingServers().tick(now);
-    gateway.serverSelector().tick();
-    peers.tick(now);
-    gateway.quarantine().tick(convictionStore, now);
+  }
+
+  private void checkIdleConnections(Instant now) {
     if (idleCheckedAt.plus(IDLE_CHECK_INTERVAL).isBefore(now)) {
       idleCheckedAt = now;
       server.tick(now);
     }
-    reportPoller.tick(recordCache.isStoreUnavailable(), now);
-    gateway.active().forEach(exchange -> exchange.tick(now));
-    gateway.startQueued();
-    if (gateway.isDraining() && !closing) {
-      exitIfDrained();
-    }
   }
 
   private void exitIfDrained() {
@@ -126,7 +143,7 @@
   private void endOpenRequests() {
     if (!gateway.active().isEmpty()) {
       LOG.info("requests_cut_off", field("open_requests", gateway.active().size()));
-      gateway.active().forEach(Exchange::endBeforeExit);
+      gateway.active().forEach(each -> runStep("request", each::endBeforeExit));
     }
   }
 
