Accept at a stop only what its time limit ends before the exit

A refusal would have sent them to another VM at once.

Cause: a stream was accepted if 1 s and 10 ms for each token that it may generate fitted into the rest. How long a server takes depends on the prompts and runs that it has from all gateways, and on the wait before; the estimate knew none of that. The decision was also taken only when a request arrived, and not before it was sent once more. Plain requests were compared with the time limit of their route, which is a bound.

Change: after the early phase of 2.5 s, a stream is sent only if its time limit ends before the exit, like a plain request, and the limit is that of the request, which may be shorter than the route's. The decision is taken before each send, also of a request whose server refused it.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/DrainPolicy.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/DrainPolicy.java
@@ -1,61 +1,46 @@
 package org.cactusseam.logic.gateway;
 
 import java.time.Duration;
-import java.util.Optional;
-import org.cactusseam.model.gateway.GatewayRoute;
-import org.cactusseam.model.gateway.GenerationDemand;
 
 /**
- * Decides which requests a gateway still accepts while it shuts down. Callers reuse connections, so
- * requests arrive until the process exits. A request that could be cut off by the exit is refused
- * immediately, so that its caller can retry at another VM.
+ * Decides which requests a gateway still serves while it shuts down, for the load patterns in which
+ * callers reuse connections until the process exits, and in which every server is busy. A request
+ * that the exit could cut off is refused immediately, so that its caller can retry at another VM.
+ *
+ * <p>Only the time limit of a request bounds its duration. How long a server takes depends on the
+ * prompts and runs that it has from all gateways, and estimates of it were too short under load.
+ * The time limit and the time until the exit pass equally fast, so a decision stays valid while the
+ * request waits.
  */
 public final class DrainPolicy {
 
   /**
-   * Time after the shutdown signal during which every stream is accepted: the load balancer still
-   * sends new callers, many streams end in time, and a refused caller may reach another VM that is
-   * shutting down. Later a stream is accepted only if its maximum length fits into the remaining
-   * time.
+   * Time after the shutdown signal during which a stream is sent whatever its time limit: the load
+   * balancer still sends new callers, many streams end in time, and a refused caller may reach
+   * another VM that is shutting down.
    */
   static final Duration EARLY_PHASE = Duration.ofMillis(2_500);
 
-  /**
-   * Time per token on a loaded engine. A step takes 7 ms plus 0.12 ms per run, with at most 24
-   * runs.
-   */
-  private static final long MILLIS_PER_TOKEN = 10;
-
-  /** Time to first token on a loaded engine. */
-  private static final Duration FIRST_EVENT_TIME = Duration.ofSeconds(1);
-
   private DrainPolicy() {}
 
   /**
-   * Returns whether a request is accepted, given the time until the process exits.
+   * Returns whether a request may be sent to a server.
    *
-   * @param demand prompt and output lengths of a model request; empty for plain requests
+   * @param isStream whether the response is a stream of events
+   * @param untilDeadline time until the time limit of the request ends
    * @param sinceSignal time since the shutdown signal
-   * @param untilEnd time until the process exits
-   * @return whether to accept it
+   * @param untilExit time until the process exits
+   * @return whether to send it
    */
-  public static boolean isServable(
-      GatewayRoute route,
-      Optional<GenerationDemand> demand,
-      Duration sinceSignal,
-      Duration untilEnd) {
-    if (!route.repetition().isStream()) {
-      return route.timeout().compareTo(untilEnd) <= 0;
-    }
-    return sinceSignal.compareTo(EARLY_PHASE) < 0
-        || demand.map(DrainPolicy::longestRunTime).orElse(route.timeout()).compareTo(untilEnd) <= 0;
+  public static boolean isSendingAllowed(
+      boolean isStream, Duration untilDeadline, Duration sinceSignal, Duration untilExit) {
+    return isWaitingAllowed(untilDeadline, untilExit)
+        || (isStream && sinceSignal.compareTo(EARLY_PHASE) < 0);
   }
 
   /**
-   * Returns whether a request may wait for a server, for the load pattern in which every server is
-   * busy when the gateway is stopped. A request that waits has not run, so its caller can be told
-   * to try another VM; one that is still waiting when the process exits would be cut off. Both
-   * times pass equally fast, so the answer does not change while the request waits.
+   * Returns whether a request may wait for a server. One that waits has not run, so its caller can
+   * be told to try another VM; one that still waited at the exit would be cut off.
    *
    * @param untilDeadline time until the time limit of the request ends
    * @param untilExit time until the process exits
@@ -64,8 +49,4 @@
   public static boolean isWaitingAllowed(Duration untilDeadline, Duration untilExit) {
     return untilDeadline.compareTo(untilExit) <= 0;
   }
-
-  private static Duration longestRunTime(GenerationDemand demand) {
-    return FIRST_EVENT_TIME.plusMillis(demand.maximumOutputTokens() * MILLIS_PER_TOKEN);
-  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -133,6 +133,7 @@
    */
   final void sendOrEnqueue() {
     endIfQuarantined();
+    endIfTooLateToSend();
     if (finished) {
       return;
     }
@@ -146,6 +147,18 @@
     endIfWaitingPastExit();
   }
 
+  private void endIfTooLateToSend() {
+    if (!finished
+        && gateway.isDraining()
+        && !DrainPolicy.isSendingAllowed(
+            route.repetition().isStream(),
+            remainingTime(),
+            gateway.timeDraining(),
+            gateway.timeUntilExit())) {
+      endUnserved(SHUTDOWN_REASON);
+    }
+  }
+
   /**
    * Ends the request if it waits for a server and could still wait when a draining gateway exits.
    */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.cactusseam.edge.logging.StructuredLog;
-import org.cactusseam.logic.gateway.DrainPolicy;
 import org.cactusseam.logic.gateway.IdleConnections;
 import org.cactusseam.logic.gateway.RouteDecision;
 import org.cactusseam.model.gateway.CallerRequest;
@@ -178,12 +177,6 @@
       reject(request, STATUS_UNAVAILABLE, "the service of the route is not configured");
       return;
     }
-    if (gateway.isDraining()
-        && !DrainPolicy.isServable(
-            accepted.route(), head.demand(), gateway.timeDraining(), gateway.timeUntilExit())) {
-      rejectForShutdown(request);
-      return;
-    }
     Exchange exchange =
         accepted.route().repetition().isStream()
             ? new StreamExchange(gateway, request, body, head, accepted, service.get(), receivedAt)
