Read the log on after a read that could not be sent

Cause: LogTailer scheduled its next read after a failed one only when the listener had returned, and a read that could not be sent threw in the timer that should have started it.

Change: the next read is scheduled before the listener is called, and a read that cannot be sent counts as failed.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LogTailer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/LogTailer.java
@@ -75,9 +75,14 @@
       return;
     }
     Instant sentAt = clock.instant();
-    log.read(stream, nextOffset.getAsLong(), MAX_RECORDS_PER_READ, LONG_POLL_TIMEOUT)
-        .onSuccess(page -> onReadSucceeded(sentAt, page))
-        .onFailure(this::onReadFailed);
+    try {
+      log.read(stream, nextOffset.getAsLong(), MAX_RECORDS_PER_READ, LONG_POLL_TIMEOUT)
+          .onSuccess(page -> onReadSucceeded(sentAt, page))
+          .onFailure(this::onReadFailed);
+    } catch (RuntimeException e) {
+      // A read that cannot be sent is repeated like one that fails.
+      onReadFailed(e);
+    }
   }
 
   private void onReadSucceeded(Instant sentAt, LogPage page) {
@@ -98,7 +103,8 @@
       failing = true;
       LOG.warn("log_unreadable", field("stream", stream), field("cause", cause.getMessage()));
     }
-    listener.onReadFailed();
+    // The next read comes first, so that nothing that the listener does can prevent it.
     vertx.setTimer(RETRY_DELAY_MILLIS, timer -> poll());
+    listener.onReadFailed();
   }
 }
