Log which statements of servers and which budget decide on retries

A request that ran twice could not be told apart in the logs by its cause: the reason of a retry named a status, not whether the statement "not run" named the attempt or bore a receipt, and nothing showed the state of the retry budget.

The lines retry, resumed and retry_denied now carry the used part, the limit and the number of gateways that share it; not_run describes the statement.

Run: LimitsOfSharesTest, PlatformHeaderCodecTest, GatewayServingTest and HostileAnswersTest pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
@@ -16,6 +16,16 @@
    */
   private static final double USED_FRACTION = 0.85;
 
+  /**
+   * Decision on one retry.
+   *
+   * @param isAllowed whether the retry may be sent
+   * @param used retries of this VM within the window before this one
+   * @param limit retries that this VM may send within the window
+   * @param vms number of VMs that share the allowance
+   */
+  public record Decision(boolean isAllowed, int used, double limit, int vms) {}
+
   private final Duration window;
   private final double ratio;
   private final double allowance;
@@ -45,17 +55,17 @@
    * Consumes one retry if the budget allows it.
    *
    * @param vms number of VMs that share the allowance
-   * @return whether the retry may be sent
+   * @return whether the retry may be sent, and what decided it
    */
-  public boolean tryRetry(int vms, Instant now) {
+  public Decision tryRetry(int vms, Instant now) {
     expire(requests, now);
     expire(retries, now);
-    double allowed = USED_FRACTION * (ratio * requests.size() + allowance / Math.max(1, vms));
-    if (retries.size() + 1 > allowed) {
-      return false;
+    double limit = USED_FRACTION * (ratio * requests.size() + allowance / Math.max(1, vms));
+    Decision decision = new Decision(retries.size() + 1 <= limit, retries.size(), limit, vms);
+    if (decision.isAllowed()) {
+      retries.addLast(now);
     }
-    retries.addLast(now);
-    return true;
+    return decision;
   }
 
   private void expire(Deque<Instant> times, Instant now) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
@@ -47,7 +47,7 @@
 
     int retries = 0;
     for (SharedRetryBudget budget : budgets) {
-      while (budget.tryRetry(vms, Instant.EPOCH.plusSeconds(1))) {
+      while (budget.tryRetry(vms, Instant.EPOCH.plusSeconds(1)).isAllowed()) {
         retries++;
       }
     }
@@ -58,10 +58,10 @@
   @Test
   void retries_are_available_again_after_the_window() {
     SharedRetryBudget budget = new SharedRetryBudget(WINDOW, 0, 2);
-    assertThat(budget.tryRetry(1, Instant.EPOCH), is(true));
-    assertThat(budget.tryRetry(1, Instant.EPOCH), is(false));
+    assertThat(budget.tryRetry(1, Instant.EPOCH).isAllowed(), is(true));
+    assertThat(budget.tryRetry(1, Instant.EPOCH).isAllowed(), is(false));
 
-    assertThat(budget.tryRetry(1, Instant.EPOCH.plus(WINDOW).plusMillis(1)), is(true));
+    assertThat(budget.tryRetry(1, Instant.EPOCH.plus(WINDOW).plusMillis(1)).isAllowed(), is(true));
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -104,8 +104,7 @@
     boolean canRetry = runs == 0 || canRunAgain();
     if (canRetry
         && gateway.serverSelector().isServable(requirements())
-        && gateway.tryRetry(service.name())) {
-      log.info("retry", field("after", attempted.id()), field("reason", reason));
+        && tryRetry("retry", attempted, reason)) {
       sendOrEnqueue();
     } else {
       endUnserved(reason);
@@ -176,6 +175,7 @@
       ServerReply reply =
           gateway.headerCodec().decode(response.statusCode(), response.headers(), head.attemptId());
       if (reply.notRun()) {
+        recordNotRun(server, reply);
         runs--;
         release();
         abortConnection();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -22,6 +22,7 @@
 import org.cactusseam.logic.gateway.RequestQueue;
 import org.cactusseam.logic.gateway.RouteDecision;
 import org.cactusseam.logic.gateway.ServerSelector;
+import org.cactusseam.logic.gateway.SharedRetryBudget;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayAccount;
@@ -31,6 +32,7 @@
 import org.cactusseam.model.gateway.KvCopyReference;
 import org.cactusseam.model.gateway.ServerCall;
 import org.cactusseam.model.gateway.ServerInstance;
+import org.cactusseam.model.gateway.ServerReply;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -346,6 +348,44 @@
     }
   }
 
+  /**
+   * Takes one retry from the budget that all gateways share, and logs what decided it.
+   *
+   * @param event event that is logged if the retry is allowed
+   * @param attempted server of the attempt that is repeated
+   * @param reason reason for the retry
+   * @return whether the request may be sent once more
+   */
+  final boolean tryRetry(String event, ServerInstance attempted, String reason) {
+    SharedRetryBudget.Decision decision = gateway.tryRetry(service.name());
+    gateway
+        .metrics()
+        .increment(
+            "cactusseam_retries_total{service=\""
+                + service.name()
+                + "\",allowed=\""
+                + decision.isAllowed()
+                + "\"}");
+    log.info(
+        decision.isAllowed() ? event : "retry_denied",
+        field("after", attempted.id()),
+        field("reason", reason),
+        field("budget_used", decision.used()),
+        field("budget_limit", String.format(Locale.ROOT, "%.1f", decision.limit())),
+        field("budget_gateways", decision.vms()));
+    return decision.isAllowed();
+  }
+
+  /** Records that a server has stated that it has not run the request. */
+  final void recordNotRun(ServerInstance server, ServerReply reply) {
+    log.info(
+        "not_run",
+        field("server", server.id()),
+        field("status", reply.status()),
+        field("named_attempt", reply.attempt()),
+        field("signed", reply.signed()));
+  }
+
   private void handleDeadline() {
     if (!finished) {
       onDeadline();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -189,7 +189,7 @@
                 settings.retryWindow(), settings.retryRatio(), settings.retryAllowance()));
   }
 
-  boolean tryRetry(String service) {
+  SharedRetryBudget.Decision tryRetry(String service) {
     return retryBudget(service).tryRetry(vmCount, clock.instant());
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -158,8 +158,7 @@
     if (run.isContinuation()) {
       continueElsewhere(run, reason);
     } else if (gateway.serverSelector().isServable(requirements())
-        && gateway.tryRetry(service.name())) {
-      log.info("retry", field("after", run.server().id()), field("reason", reason));
+        && tryRetry("retry", run.server(), reason)) {
       sendOrEnqueue();
     } else {
       endUnserved(reason);
@@ -183,10 +182,10 @@
 
   private void continueElsewhere(StreamRun run, String reason) {
     // The budget is asked first: a copy that is taken off the list can be used only now.
-    if (kvCopies.hasUsable(gateway.servers()::isUsable) && gateway.tryRetry(service.name())) {
+    if (kvCopies.hasUsable(gateway.servers()::isUsable)
+        && tryRetry("retry", run.server(), reason)) {
       continueFrom(kvCopies.poll(gateway.servers()::isUsable).orElseThrow());
-    } else if (canRunAgain(run) && gateway.tryRetry(service.name())) {
-      log.info("resumed", field("after", run.server().id()), field("reason", reason));
+    } else if (canRunAgain(run) && tryRetry("resumed", run.server(), reason)) {
       sendOrEnqueue();
     } else {
       endUnserved(reason);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -131,6 +131,7 @@
             .headerCodec()
             .decode(received.statusCode(), received.headers(), exchange.head.attemptId());
     if (reply.notRun()) {
+      exchange.recordNotRun(server, reply);
       if (continuation.isEmpty()) {
         exchange.runs--;
       }
