Take a request out of the queue before it is started

The entry of a request stayed in the queue while the request started. If the start failed on the same call stack, the request was queued again, and the nested call started the old and the new entry; if it failed with an exception after the send, each later call sent it again.

An entry now leaves the queue before its request starts, and comes back only if the request could not start and did not end meanwhile.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RequestQueue.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RequestQueue.java
@@ -53,6 +53,7 @@
     private final double virtualStart;
     private final long number;
     private final T request;
+    private boolean isRemoved;
 
     private Entry(Claim claim, double virtualStart, long number, T request) {
       this.claim = claim;
@@ -81,6 +82,7 @@
    * @param entry entry of the request
    */
   public void remove(Entry<T> entry) {
+    entry.isRemoved = true;
     entries.remove(entry);
     forgetIdleAccounts();
   }
@@ -88,14 +90,22 @@
   /**
    * Tries to start every request in order, and removes those that no longer wait.
    *
+   * <p>Starting a request may end others, and may queue the same one again if the start fails at
+   * once. An entry is therefore not in the queue while its request starts: a nested call would
+   * start it a second time. If {@code start} fails with an exception, the request has left the
+   * queue, because it may have been sent.
+   *
    * @param start tries to start a request; returns whether it leaves the queue
    */
   public void startWaiting(Instant now, Predicate<T> start) {
     for (Entry<T> entry : ordered(now)) {
-      // Starting a request may end others, which leave the queue by themselves.
-      if (entries.contains(entry) && start.test(entry.request)) {
-        entries.remove(entry);
+      if (!entries.remove(entry)) {
+        continue;
+      }
+      if (start.test(entry.request)) {
         virtualTime = Math.max(virtualTime, entry.virtualStart);
+      } else if (!entry.isRemoved) {
+        entries.add(entry);
       }
     }
     forgetIdleAccounts();
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/RequestQueueTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/RequestQueueTest.java
@@ -111,6 +111,71 @@
     assertThat(queue.size(), is(0));
   }
 
+  /**
+   * Guards against a request that is sent twice: its start fails at once, so that it is queued
+   * again while its first entry is still being started.
+   */
+  @Test
+  void a_request_that_is_queued_again_while_it_starts_has_one_entry_in_the_queue() {
+    List<String> sent = new ArrayList<>();
+    add(1, "a", "a-1");
+
+    queue.startWaiting(START, request -> failOnceAndQueueAgain(request, sent));
+
+    assertThat(sent, is(List.of("failed a-1", "sent a-1")));
+    assertThat(queue.size(), is(0));
+  }
+
+  private boolean failOnceAndQueueAgain(String request, List<String> sent) {
+    if (sent.isEmpty()) {
+      sent.add("failed " + request);
+      add(1, "a", request);
+      queue.startWaiting(START, again -> sent.add("sent " + again));
+    } else {
+      sent.add("sent " + request);
+    }
+    return true;
+  }
+
+  /**
+   * Guards against a request that is sent again at each call: its start fails with an exception
+   * after it was sent.
+   */
+  @Test
+  void a_request_whose_start_fails_with_an_exception_is_not_started_again() {
+    List<String> sent = new ArrayList<>();
+    add(1, "a", "a-1");
+    try {
+      queue.startWaiting(
+          START,
+          request -> {
+            sent.add(request);
+            throw new IllegalStateException("failed after the send");
+          });
+    } catch (IllegalStateException e) {
+      sent.add(e.getMessage());
+    }
+
+    queue.startWaiting(START, sent::add);
+
+    assertThat(sent, is(List.of("a-1", "failed after the send")));
+  }
+
+  /** Guards against a request that starts although it has ended while its start was tried. */
+  @Test
+  void a_request_that_is_removed_while_its_start_is_tried_does_not_wait_any_longer() {
+    RequestQueue.Entry<String> entry = queue.add(new RequestQueue.Claim(1, "a", 1, ON_TIME), "a-1");
+
+    queue.startWaiting(
+        START,
+        request -> {
+          queue.remove(entry);
+          return false;
+        });
+
+    assertThat(queue.size(), is(0));
+  }
+
   /**
    * Replays a service of 6 slots with 86 ms of work a request, which 9 accounts use by 60 % while
    * one account sends a multiple of its usual amount.
