Count retries when they are sent

A retry was counted when it was decided. It may then wait for a server for seconds, so that retries that were decided in several windows were sent in one, and servers got more of them than the budget allows.

A retry is now reserved when it is decided, counted when it is sent, and given back when the request ends before it is sent. Reserved retries count against the limit for as long as they wait.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
@@ -8,6 +8,9 @@
 /**
  * Limits the retries that this VM sends to the servers of one service within a sliding window. The
  * limit holds over all VMs; each one uses only its own share, so that they need not communicate.
+ *
+ * <p>A retry is reserved when it is decided and counted when it is sent: it may wait for a server
+ * for seconds, and retries that were decided in several windows may be sent in one.
  */
 public final class SharedRetryBudget {
 
@@ -16,23 +19,24 @@
    */
   private static final double USED_FRACTION = 0.85;
 
+  private final Duration window;
+  private final double ratio;
+  private final double allowance;
+  private final Instant allowanceFrom;
+  private final Deque<Instant> requests = new ArrayDeque<>();
+  private final Deque<Instant> sentRetries = new ArrayDeque<>();
+  private int reservedRetries;
+
   /**
    * Decision on one retry.
    *
-   * @param isAllowed whether the retry may be sent
-   * @param used retries of this VM within the window before this one
+   * @param isAllowed whether the retry may be sent; if so, it is reserved
+   * @param used retries of this VM within the window and reserved ones, without this one
    * @param limit retries that this VM may send within the window
    * @param vms number of VMs that share the allowance
    */
   public record Decision(boolean isAllowed, int used, double limit, int vms) {}
 
-  private final Duration window;
-  private final double ratio;
-  private final double allowance;
-  private final Instant allowanceFrom;
-  private final Deque<Instant> requests = new ArrayDeque<>();
-  private final Deque<Instant> retries = new ArrayDeque<>();
-
   /**
    * Creates an unused budget. A VM that has started does not know what it used before, nor yet how
    * many VMs share the allowance. It uses none of the allowance until the retries of its former
@@ -57,18 +61,20 @@
   }
 
   /**
-   * Consumes one retry if the budget allows it.
+   * Reserves one retry if the budget allows it. The reservation is used by {@link #recordSent} or
+   * given back by {@link #release}.
    *
    * @param vms number of VMs that share the allowance
    * @return whether the retry may be sent, and what decided it
    */
-  public Decision tryRetry(int vms, Instant now) {
+  public Decision tryReserve(int vms, Instant now) {
     expire(requests, now);
-    expire(retries, now);
+    expire(sentRetries, now);
     double limit = USED_FRACTION * (ratio * requests.size() + allowanceShare(vms, now));
-    Decision decision = new Decision(retries.size() + 1 <= limit, retries.size(), limit, vms);
+    int used = sentRetries.size() + reservedRetries;
+    Decision decision = new Decision(used + 1 <= limit, used, limit, vms);
     if (decision.isAllowed()) {
-      retries.addLast(now);
+      reservedRetries++;
     }
     return decision;
   }
@@ -77,6 +83,20 @@
     return now.isBefore(allowanceFrom) ? 0 : allowance / Math.max(1, vms);
   }
 
+  /** Counts a reserved retry that is sent now. */
+  public void recordSent(Instant now) {
+    release();
+    sentRetries.addLast(now);
+  }
+
+  /** Gives back a reserved retry that will not be sent. */
+  public void release() {
+    if (reservedRetries == 0) {
+      throw new IllegalStateException("no retry is reserved");
+    }
+    reservedRetries--;
+  }
+
   private void expire(Deque<Instant> times, Instant now) {
     Instant limit = now.minus(window);
     while (!times.isEmpty() && times.peekFirst().isBefore(limit)) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
@@ -97,9 +97,44 @@
     }
   }
 
+  /**
+   * Guards against retries of several windows that wait for a server and are then sent in one
+   * window.
+   */
+  @Test
+  void retries_that_wait_for_a_server_are_counted_when_they_are_sent() {
+    SharedRetryBudget budget = new SharedRetryBudget(WINDOW, 0, ALLOWANCE, LONG_AGO);
+    int waiting = 0;
+    for (long second = 0; second <= 30; second++) {
+      while (budget.tryReserve(1, Instant.EPOCH.plusSeconds(second)).isAllowed()) {
+        waiting++;
+      }
+    }
+    Instant now = Instant.EPOCH.plusSeconds(31);
+    for (int retry = 0; retry < waiting; retry++) {
+      budget.recordSent(now);
+    }
+    int sent = waiting + sendAllRetries(budget, 1, now.plusSeconds(1));
+
+    assertThat((double) sent, lessThanOrEqualTo(ALLOWANCE));
+  }
+
+  /** Guards against a budget that shrinks with each retry whose caller leaves while it waits. */
+  @Test
+  void a_retry_that_is_not_sent_is_available_again() {
+    SharedRetryBudget budget = new SharedRetryBudget(WINDOW, 0, 2, LONG_AGO);
+    assertThat(budget.tryReserve(1, Instant.EPOCH).isAllowed(), is(true));
+    assertThat(budget.tryReserve(1, Instant.EPOCH).isAllowed(), is(false));
+
+    budget.release();
+
+    assertThat(budget.tryReserve(1, Instant.EPOCH).isAllowed(), is(true));
+  }
+
   private static int sendAllRetries(SharedRetryBudget budget, int vms, Instant now) {
     int sent = 0;
-    while (budget.tryRetry(vms, now).isAllowed()) {
+    while (budget.tryReserve(vms, now).isAllowed()) {
+      budget.recordSent(now);
       sent++;
     }
     return sent;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -87,6 +87,7 @@
   int runs;
   private Set<String> fingerprints = Set.of();
   private int sends;
+  private boolean hasReservedRetry;
   private boolean finished;
   private boolean closeAnnounced;
   private long deadlineTimer;
@@ -328,6 +329,10 @@
 
   final void recordSend(ServerInstance server) {
     sends++;
+    if (hasReservedRetry) {
+      hasReservedRetry = false;
+      gateway.retryBudget(service.name()).recordSent(gateway.clock().instant());
+    }
     gateway.serverSelector().recordSent(server);
     log.info(
         "sent",
@@ -349,7 +354,8 @@
   }
 
   /**
-   * Takes one retry from the budget that all gateways share, and logs what decided it.
+   * Reserves one retry of the budget that all gateways share, and logs what decided it. The next
+   * send uses the reservation.
    *
    * @param event event that is logged if the retry is allowed
    * @param attempted server of the attempt that is repeated
@@ -357,7 +363,8 @@
    * @return whether the request may be sent once more
    */
   final boolean tryRetry(String event, ServerInstance attempted, String reason) {
-    SharedRetryBudget.Decision decision = gateway.tryRetry(service.name());
+    SharedRetryBudget.Decision decision = gateway.tryReserveRetry(service.name());
+    hasReservedRetry = decision.isAllowed();
     gateway
         .metrics()
         .increment(
@@ -566,6 +573,10 @@
       gateway.queue(service.name()).remove(queueEntry);
       queueEntry = null;
     }
+    if (hasReservedRetry) {
+      hasReservedRetry = false;
+      gateway.retryBudget(service.name()).release();
+    }
     gateway.remove(this);
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -194,8 +194,8 @@
                 startedAt));
   }
 
-  SharedRetryBudget.Decision tryRetry(String service) {
-    return retryBudget(service).tryRetry(vmCount, clock.instant());
+  SharedRetryBudget.Decision tryReserveRetry(String service) {
+    return retryBudget(service).tryReserve(vmCount, clock.instant());
   }
 
   RequestQueue<Exchange> queue(String service) {
