Count sent retries for one second longer than the window

The rule counts retries when they arrive at servers, the budget when they are sent. Two bursts that are sent one window apart arrive within one window if the first needs longer to arrive, if only by the time that a connection takes. The unused 15 % of the budget does not cover that: the second burst may be as large as the first.

A sent retry now counts for the window and 1 s, which covers the 0.4 s that a connection may take and delays of the event loop. The allowance is available that much later after a start, for the same reason.

Without the change, retries_that_arrive_late_stay_within_the_budget fails for 1, 40, 400 and 999 ms with 88 retries in a window instead of at most 52.

retries_are_available_again_after_the_window expected a retry 1 ms after the window, which is the fault. It now expects none then, and one 1.001 s after the window, so that it holds the budget to both sides.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
@@ -19,6 +19,12 @@
    */
   private static final double USED_FRACTION = 0.85;
 
+  /**
+   * Time for which a sent retry counts after the window. Retries that were sent at most this much
+   * more than a window apart may arrive within one window: a connection takes up to 0.4 s.
+   */
+  private static final Duration ARRIVAL_DELAY = Duration.ofSeconds(1);
+
   private final Duration window;
   private final double ratio;
   private final double allowance;
@@ -51,13 +57,13 @@
     this.window = window;
     this.ratio = ratio;
     this.allowance = allowance;
-    this.allowanceFrom = startedAt.plus(window);
+    this.allowanceFrom = startedAt.plus(window).plus(ARRIVAL_DELAY);
   }
 
   /** Counts a first (not retried) request. */
   public void request(Instant now) {
     requests.addLast(now);
-    expire(requests, now);
+    expire(requests, window, now);
   }
 
   /**
@@ -68,8 +74,8 @@
    * @return whether the retry may be sent, and what decided it
    */
   public Decision tryReserve(int vms, Instant now) {
-    expire(requests, now);
-    expire(sentRetries, now);
+    expire(requests, window, now);
+    expire(sentRetries, window.plus(ARRIVAL_DELAY), now);
     double limit = USED_FRACTION * (ratio * requests.size() + allowanceShare(vms, now));
     int used = sentRetries.size() + reservedRetries;
     Decision decision = new Decision(used + 1 <= limit, used, limit, vms);
@@ -97,8 +103,8 @@
     reservedRetries--;
   }
 
-  private void expire(Deque<Instant> times, Instant now) {
-    Instant limit = now.minus(window);
+  private static void expire(Deque<Instant> times, Duration age, Instant now) {
+    Instant limit = now.minus(age);
     while (!times.isEmpty() && times.peekFirst().isBefore(limit)) {
       times.removeFirst();
     }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against exceeding limits over all VMs, although each VM counts only its own requests. */
 class LimitsOfSharesTest {
@@ -63,7 +64,8 @@
     SharedRetryBudget budget = new SharedRetryBudget(WINDOW, 0, 2, LONG_AGO);
     assertThat(sendAllRetries(budget, 1, Instant.EPOCH), is(1));
 
-    assertThat(sendAllRetries(budget, 1, Instant.EPOCH.plus(WINDOW).plusMillis(1)), is(1));
+    assertThat(sendAllRetries(budget, 1, Instant.EPOCH.plus(WINDOW).plusMillis(1)), is(0));
+    assertThat(sendAllRetries(budget, 1, Instant.EPOCH.plus(WINDOW).plusMillis(1_001)), is(1));
   }
 
   /**
@@ -97,6 +99,20 @@
     }
   }
 
+  /** Guards against retries that are sent a window apart and arrive within one window. */
+  @ParameterizedTest(name = "retries arrive up to {0} ms after they are sent")
+  @ValueSource(longs = {1, 40, 400, 999})
+  void retries_that_arrive_late_stay_within_the_budget(long delayMillis) {
+    SharedRetryBudget budget = new SharedRetryBudget(WINDOW, 0, ALLOWANCE, LONG_AGO);
+    Instant lastArrival = Instant.EPOCH.plusMillis(delayMillis);
+    int arrived = sendAllRetries(budget, 1, Instant.EPOCH);
+
+    // These arrive at once, less than a window after the others.
+    arrived += sendAllRetries(budget, 1, lastArrival.plus(WINDOW).minusNanos(1));
+
+    assertThat((double) arrived, lessThanOrEqualTo(ALLOWANCE));
+  }
+
   /**
    * Guards against retries of several windows that wait for a server and are then sent in one
    * window.
