Share the cold rate with unknown gateways after a start

A cold server got more requests in a second than it tolerates when several gateways started together: each counted itself alone until it had read the list of gateways, and sent the whole rate.

A gateway now divides the cold rate by at least 24 for 2 s after its start, and until it has read the list of gateways with its own entry in it, at most for 5 s, so that it serves also when the store is unavailable. It serves throughout; for that time it sends each server less.

With only the known gateways counted, vms_that_start_together_stay_within_the_limit_of_a_cold_server fails in all 5 cases: 64, 144, 192, 576 and 144 requests in a second instead of at most 62. Its effect on served requests after a start was not measured.

--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LimitsOfSharesTest.java
@@ -198,11 +198,51 @@
     assertThat((double) sent, lessThanOrEqualTo(38 * 1.5 + 5));
   }
 
+  /**
+   * Guards against a cold server that gets the whole rate from each of several VMs that start
+   * together and know none of the others yet.
+   */
+  @ParameterizedTest(name = "{0} VMs, the list is read after {1} ms, the others known after {2} ms")
+  @CsvSource({"2, 100, 100", "6, 100, 100", "8, 300, 1900", "24, 1000, 2000", "6, 60000, 4900"})
+  void vms_that_start_together_stay_within_the_limit_of_a_cold_server(
+      int vms, long listReadAfter, long othersKnownAfter) {
+    PausedClock clock = new PausedClock(Instant.EPOCH);
+    SharerCount count = new SharerCount(Instant.EPOCH);
+    List<ServerSelector> selectors = new ArrayList<>();
+    for (int vm = 0; vm < vms; vm++) {
+      selectors.add(selectorWithPlainServer(clock));
+    }
+    List<Long> sent = new ArrayList<>();
+    for (long millis = 0; millis < 8_000; millis += 10) {
+      if (millis == listReadAfter) {
+        count.recordListRead();
+      }
+      int known = millis < othersKnownAfter ? 1 : vms;
+      for (ServerSelector selector : selectors) {
+        selector.setVmCount(count.count(known, clock.instant()));
+        while (selector.choose(PLAIN_REQUEST).isPresent()) {
+          selector.recordSent(PLAIN_SERVER);
+          sent.add(millis);
+        }
+      }
+      clock.advance(10);
+    }
+
+    for (long end : sent) {
+      long within = sent.stream().filter(at -> at > end - 1_000 && at <= end).count();
+      assertThat((double) within, lessThanOrEqualTo(38 * 1.5 + 5));
+    }
+  }
+
   private static ServerSelector selectorWithPlainServer() {
+    return selectorWithPlainServer(new PausedClock(Instant.EPOCH));
+  }
+
+  private static ServerSelector selectorWithPlainServer(PausedClock clock) {
     ServerTable servers = new ServerTable();
     servers.put(PLAIN_SERVER, Instant.EPOCH.minusSeconds(60));
     return new ServerSelector(
-        new PausedClock(Instant.EPOCH),
+        clock,
         new ServerSelector.Location("ost-wien", Map.of("ost-wien", "ost")),
         servers,
         new ServerLoads(),
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.cactusseam.logic.gateway.ServerSelector;
 import org.cactusseam.logic.gateway.ServerTable;
 import org.cactusseam.logic.gateway.SharedRetryBudget;
+import org.cactusseam.logic.gateway.SharerCount;
 import org.cactusseam.model.gateway.ServerInstance;
 
 /** State that all requests of a gateway share. Confined to the event loop. */
@@ -54,6 +55,7 @@
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> active = new LinkedHashSet<>();
   private final Instant startedAt;
+  private final SharerCount sharerCount;
   private int vmCount = 1;
   private int pendingWrites;
   private Optional<Instant> drainingSince = Optional.empty();
@@ -76,6 +78,7 @@
     this.vertx = vertx;
     this.clock = clock;
     this.startedAt = clock.instant();
+    this.sharerCount = new SharerCount(startedAt);
     this.settings = settings;
     this.headerCodec = headerCodec;
     this.engineClient = engineClient;
@@ -95,6 +98,7 @@
             leavingServers,
             reports,
             settings.coldTolerance());
+    setVmCount(1);
   }
 
   Vertx vertx() {
@@ -238,14 +242,19 @@
     return List.copyOf(active);
   }
 
+  /** Records that the list of gateways was read, with the entry of this gateway in it. */
+  void recordGatewayListRead() {
+    sharerCount.recordListRead();
+  }
+
   /**
    * Sets the number of gateways over which retry budgets and other limits are divided.
    *
-   * @param number number of gateways, this one included
+   * @param number number of known gateways, this one included
    */
   void setVmCount(int number) {
     vmCount = Math.max(1, number);
-    serverSelector.setVmCount(vmCount);
+    serverSelector.setVmCount(sharerCount.count(vmCount, clock.instant()));
     quarantine.setGatewayCount(vmCount);
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -91,9 +91,12 @@
   }
 
   void connect(String node, String host, int port, String failureDomain) {
+    if (node.equals(gateway.settings().node())) {
+      gateway.recordGatewayListRead();
+      return;
+    }
     GatewayPeerLink known = links.get(node);
-    if (node.equals(gateway.settings().node())
-        || (known != null && known.isConnectionTo(host, port))) {
+    if (known != null && known.isConnectionTo(host, port)) {
       return;
     }
     if (known != null) {
