Believe "not run" only in an unsigned answer to the attempt that was sent

Callers saw requests that may run once run at two servers: the gateway sent them again after a response that stated "not run" but bore a receipt, was interim or named no attempt.

Cause: ServerReply.notRun() believed Not-Executed and status 421 in every response that did not name another attempt.

A statement is now believed only if it is not signed, not interim and names the attempt that was sent. One exception: a 421 that names no attempt, but an Instance-Id other than the expected one, comes from a server that has taken over the address and rejects each such request. Every other statement counts as a failure of a request that may have run, and is logged as statement_ignored.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
@@ -7,8 +7,13 @@
  * @param statesNotRun whether the response states that a request has not run and will not run
  * @param signed whether the response carries a receipt, which only a run produces
  * @param attempt which attempt the response names
+ * @param ofOtherServer whether the response names a server other than the expected one
  */
-public record ServerReply(int status, boolean statesNotRun, boolean signed, NamedAttempt attempt) {
+public record ServerReply(
+    int status, boolean statesNotRun, boolean signed, NamedAttempt attempt, boolean ofOtherServer) {
+
+  /** Status of a server that is not the one to which the request is addressed. */
+  public static final int STATUS_MISDIRECTED = 421;
 
   /** Attempt that a response names, compared with the one that was sent. */
   public enum NamedAttempt {
@@ -21,13 +26,34 @@
   }
 
   /**
-   * Returns whether the server states that it has not run the request that was sent. The statement
-   * that another request has not run says nothing about this one.
+   * Returns whether the server states that it has not run the request that was sent, and the
+   * statement can be believed. It must name the attempt, because the statement about another
+   * request says nothing about this one. A receipt contradicts it, and an interim response is no
+   * answer. A server that has taken over the address of the expected one need not name the attempt:
+   * it rejects every request that is addressed to the expected server.
    *
    * @return whether the request has not run and will not run
    */
   public boolean notRun() {
-    return statesNotRun && answersAttempt();
+    return statesNotRun && !signed && !isInterim() && (namesAttempt() || isRejectedByOtherServer());
+  }
+
+  /**
+   * Returns whether the response states that a request has not run, but cannot be believed. The
+   * request that was sent may have run.
+   *
+   * @return whether the statement must be ignored
+   */
+  public boolean isIgnoredStatement() {
+    return statesNotRun && !notRun();
+  }
+
+  private boolean namesAttempt() {
+    return attempt == NamedAttempt.SAME;
+  }
+
+  private boolean isRejectedByOtherServer() {
+    return status == STATUS_MISDIRECTED && attempt == NamedAttempt.NONE && ofOtherServer;
   }
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -173,15 +173,22 @@
         return;
       }
       ServerReply reply =
-          gateway.headerCodec().decode(response.statusCode(), response.headers(), head.attemptId());
+          gateway
+              .headerCodec()
+              .decode(response.statusCode(), response.headers(), head.attemptId(), server.id());
       if (reply.notRun()) {
-        recordNotRun(server, reply);
+        recordStatement(server, reply);
         runs--;
         release();
         abortConnection();
         retryOrFail(server, "not run, status " + reply.status());
         return;
       }
+      if (reply.isIgnoredStatement()) {
+        recordStatement(server, reply);
+        onBroken("a statement that cannot be believed, status " + reply.status());
+        return;
+      }
       if (reply.isInterim()) {
         onBroken("interim status " + reply.status() + " in place of an answer");
         return;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -383,13 +383,14 @@
     return decision.isAllowed();
   }
 
-  /** Records that a server has stated that it has not run the request. */
-  final void recordNotRun(ServerInstance server, ServerReply reply) {
+  /** Records that a response states that the request has not run, and whether it is believed. */
+  final void recordStatement(ServerInstance server, ServerReply reply) {
     log.info(
-        "not_run",
+        reply.notRun() ? "not_run" : "statement_ignored",
         field("server", server.id()),
         field("status", reply.status()),
         field("named_attempt", reply.attempt()),
+        field("of_other_server", reply.ofOtherServer()),
         field("signed", reply.signed()));
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/HeaderCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/HeaderCodec.java
@@ -36,9 +36,10 @@
    * @param status HTTP status
    * @param headers headers of the response
    * @param attemptId identifier of the attempt that was sent
+   * @param serverId identifier of the server to which it was sent
    * @return decoded head
    */
-  ServerReply decode(int status, MultiMap headers, String attemptId);
+  ServerReply decode(int status, MultiMap headers, String attemptId, String serverId);
 
   /**
    * Builds the headers of the response to the caller.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -129,14 +129,18 @@
     ServerReply reply =
         gateway
             .headerCodec()
-            .decode(received.statusCode(), received.headers(), exchange.head.attemptId());
+            .decode(
+                received.statusCode(), received.headers(), exchange.head.attemptId(), server.id());
     if (reply.notRun()) {
-      exchange.recordNotRun(server, reply);
+      exchange.recordStatement(server, reply);
       if (continuation.isEmpty()) {
         exchange.runs--;
       }
       abort();
       exchange.onNotRun(this, "not run, status " + reply.status());
+    } else if (reply.isIgnoredStatement()) {
+      exchange.recordStatement(server, reply);
+      onBroken("a statement that cannot be believed, status " + reply.status());
     } else if (reply.isInterim()) {
       onBroken("interim status " + reply.status() + " in place of an answer");
     } else if (!reply.answersAttempt()) {
