Answer 502 in place of a server's refusal of a request that may have run

Callers of requests that may run once got a server's own 408, 429 or 503, took the status as the promise that the request had not run, and could send it again.

Cause: BufferedExchange and StreamExchange passed on each failure status of a server, although only a believed statement "not run" keeps the promise.

Such an answer becomes a 502 without the receipt for every request that is not repeatable, a signed one too, because its receipt shows that the request has run. Repeatable requests keep the server's answer, since a second run of them does no harm.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
@@ -1,5 +1,7 @@
 package org.cactusseam.model.gateway;
 
+import java.util.Set;
+
 /**
  * Decoded status line and headers of a backend server's response.
  *
@@ -15,6 +17,9 @@
   /** Status of a server that is not the one to which the request is addressed. */
   public static final int STATUS_MISDIRECTED = 421;
 
+  /** Statuses by which a caller is promised that its request has not run and will not run. */
+  private static final Set<Integer> REFUSALS = Set.of(408, STATUS_MISDIRECTED, 429, 503);
+
   /** Attempt that a response names, compared with the one that was sent. */
   public enum NamedAttempt {
     /** The attempt that was sent. */
@@ -74,6 +79,16 @@
     return status >= 200 && status < 300;
   }
 
+  /**
+   * Returns whether a caller understands a status as the promise that its request has not run.
+   *
+   * @param status HTTP status
+   * @return whether the status is a refusal
+   */
+  public static boolean isRefusal(int status) {
+    return REFUSALS.contains(status);
+  }
+
   /**
    * Returns whether the response is an interim one (1xx). Such a response is no answer, and the
    * bytes after it cannot be attributed to a request.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -115,6 +115,10 @@
     if (isFinished()) {
       return;
     }
+    if (isFalsePromise(complete.reply().status())) {
+      failMayHaveRun("the server answered with status " + complete.reply().status());
+      return;
+    }
     logEnd(
         "answered", complete.reply().status(), complete.reply().isSuccess() ? "whole" : "failure");
     finish();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -504,6 +504,16 @@
     fail(STATUS_BAD_GATEWAY, reason, "failed");
   }
 
+  /**
+   * Returns whether the answer of a server must not reach the caller. The statuses that refuse a
+   * request promise that it has not run, and an answer that is no statement of the server, above
+   * all a signed one, leaves open whether it has: the caller would send a request again that may
+   * run once only. For a repeatable request a second run does no harm, so its answer is passed on.
+   */
+  final boolean isFalsePromise(int status) {
+    return !route.repetition().isRepeatable() && ServerReply.isRefusal(status);
+  }
+
   /** Fails the request with status 504 because its time limit has passed: it may have run. */
   final void failTimeout(String reason) {
     fail(STATUS_GATEWAY_TIMEOUT, reason, "timeout");
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -140,6 +140,10 @@
       onBroken(run, "the server failed with status " + status);
       return;
     }
+    if (isFalsePromise(status)) {
+      failMayHaveRun("the server answered with status " + status);
+      return;
+    }
     logEnd("answered", status, "failure");
     finish();
     response.setStatusCode(status);
