--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewaySettings.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.cactusseam.logic.gateway.ColdLimit;
 import org.cactusseam.logic.gateway.ServerSelector;
+import org.cactusseam.model.gateway.GatewayFeatures;
 
 /**
  * Settings of one gateway process.
@@ -22,6 +23,7 @@
  * @param retryRatio retries permitted per request in the window
  * @param retryAllowance further retries permitted in the window, over all VMs
  * @param coldTolerance how far the request rate of a cold server may exceed its limit
+ * @param features optional behaviour
  */
 public record GatewaySettings(
     String node,
@@ -37,7 +39,8 @@
     Duration retryWindow,
     double retryRatio,
     double retryAllowance,
-    ColdLimit.Tolerance coldTolerance) {
+    ColdLimit.Tolerance coldTolerance,
+    GatewayFeatures features) {
 
   /** Copies the regions, so that later changes of the map have no effect. */
   public GatewaySettings {
