Bound the memory that a gateway holds for callers

A body was buffered whole before anything limited it, heads and pipelined requests were decoded by 64 KiB and more for each connection, and responses were written for callers that do not read. 60 clients ended a gateway or made it unusable.

Every caller connection has a ConnectionMeter below the HTTP decoder. Heads are reserved from MemoryBudget before they are decoded, bodies before they are read, by their announced length. What does not fit is not read, and is refused after 500 ms with 503 and Retry-After; it has not run. The next request of a connection starts when the response before it is nearly read. The hash of a body is computed without a copy. The readiness and metrics ports keep 32 connections each; this has no test.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BodyReader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BodyReader.java
@@ -1,41 +1,229 @@
 package org.cactusseam.edge.gateway;
 
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hasher;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.Optional;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
 
-/** Reads a request body up to a size limit. A longer body is discarded and reported as such. */
-final class BodyReader {
+/**
+ * Reads a request body up to a size limit, after the memory for it is reserved. A longer body, and
+ * one for which there is no memory, is discarded. The memory is held until {@link #release}.
+ */
+final class BodyReader implements ClientMemory.Owner {
+
+  /** Counted for the head of a request and the state of its exchange. */
+  private static final long REQUEST_BYTES = 8 << 10;
+
+  /** First reservation for a body without an announced length. */
+  private static final int FIRST_BODY_BYTES = 4 << 10;
+
+  private static final int HASHED_PART_BYTES = 16 << 10;
+
+  /** Outcome of reading a body. */
+  sealed interface Result {
+
+    /**
+     * The body is complete.
+     *
+     * @param body the whole body
+     */
+    record Complete(Buffer body) implements Result {}
+
+    /** The body exceeds the size limit, and has been discarded. */
+    record TooLong() implements Result {}
+
+    /**
+     * The body is not read, and what still arrives of it is discarded.
+     *
+     * @param limit the limit that the caller or the process has reached
+     */
+    record Refused(String limit) implements Result {}
+  }
 
   private final HttpServerRequest request;
   private final int limit;
-  private final Buffer body = Buffer.buffer();
-  private boolean isTooLong;
+  private final CallerConnection connection;
+  private final ClientMemory memory;
+  private final Promise<Result> result = Promise.promise();
+  private final long announcedBytes;
+  private Buffer body = Buffer.buffer();
+  private @Nullable Buffer waitingPart;
+  private long reservedBodyBytes = -1;
+  private long bodyBytes;
+  private boolean isDiscarding;
+  private boolean isWaiting;
+  private boolean isEnded;
+  private final List<Runnable> endActions = new ArrayList<>(2);
 
-  BodyReader(HttpServerRequest request, int limit) {
+  BodyReader(
+      HttpServerRequest request, int limit, CallerConnection connection, ClientMemory memory) {
     this.request = request;
     this.limit = limit;
+    this.connection = connection;
+    this.memory = memory;
+    this.announcedBytes = announcedBytes(request);
   }
 
-  /**
-   * Returns the body, or empty if it exceeds the limit. Fails if the connection is closed before
-   * the end of the body.
-   */
-  Future<Optional<Buffer>> read() {
-    Promise<Optional<Buffer>> promise = Promise.promise();
+  private static long announcedBytes(HttpServerRequest request) {
+    if (request.headers().contains("Transfer-Encoding")) {
+      return -1;
+    }
+    String length = request.getHeader("Content-Length");
+    try {
+      return length == null ? 0 : Long.parseLong(length.strip());
+    } catch (NumberFormatException e) {
+      // The decoder of the library rejects such a request; its bytes are counted as they arrive.
+      return -1;
+    }
+  }
+
+  /** Reads the body. Fails if the connection is closed before the end of the body. */
+  Future<Result> read() {
     request.handler(this::append);
-    request.exceptionHandler(promise::tryFail);
+    request.exceptionHandler(
+        cause -> {
+          release();
+          result.tryFail(cause);
+          end();
+        });
     request.endHandler(
-        ended -> promise.tryComplete(isTooLong ? Optional.empty() : Optional.of(body)));
-    return promise.future();
+        ended -> {
+          result.tryComplete(isDiscarding ? new Result.TooLong() : new Result.Complete(body));
+          end();
+        });
+    if (announcedBytes > limit) {
+      isDiscarding = true;
+    } else if (reserve(announcedBytes < 0 ? FIRST_BODY_BYTES : announcedBytes)) {
+      allocate();
+    }
+    return result.future();
+  }
+
+  private void end() {
+    isEnded = true;
+    endActions.forEach(Runnable::run);
+    endActions.clear();
+  }
+
+  /** Runs an action when the caller has sent the whole body, also if it was discarded. */
+  void whenEnded(Runnable action) {
+    if (isEnded) {
+      action.run();
+    } else {
+      endActions.add(action);
+    }
+  }
+
+  /** Reserves memory; without it, nothing is read until it is granted. */
+  private boolean reserve(long newBodyBytes) {
+    reservedBodyBytes = newBodyBytes;
+    if (memory.reserve(this, connection.address(), REQUEST_BYTES + newBodyBytes)) {
+      return true;
+    }
+    isWaiting = true;
+    request.pause();
+    connection.meter().hold();
+    return false;
+  }
+
+  private void allocate() {
+    body = Buffer.buffer((int) reservedBodyBytes);
   }
 
   private void append(Buffer part) {
-    isTooLong = isTooLong || body.length() + part.length() > limit;
-    if (!isTooLong) {
+    bodyBytes += part.length();
+    if (isDiscarding) {
+      return;
+    }
+    long length = (long) body.length() + part.length();
+    if (length > limit) {
+      discard();
+    } else if (length <= reservedBodyBytes || reserve(sizeFor(length))) {
       body.appendBuffer(part);
+    } else {
+      waitingPart = part;
     }
   }
+
+  /** Returns the size to which the buffer of a body grows: it doubles, up to the limit. */
+  private long sizeFor(long length) {
+    return Math.min(limit, Long.highestOneBit(Math.max(1, length - 1)) * 2);
+  }
+
+  @Override
+  public void onGranted() {
+    Buffer part = waitingPart;
+    waitingPart = null;
+    if (part == null) {
+      allocate();
+    } else {
+      body.appendBuffer(part);
+    }
+    resume();
+  }
+
+  @Override
+  public void onRefused() {
+    refuse("memory");
+  }
+
+  private void resume() {
+    if (isWaiting) {
+      isWaiting = false;
+      connection.meter().release();
+      request.resume();
+    }
+  }
+
+  /**
+   * Ends reading. The request has not been forwarded, so it has not run.
+   *
+   * @param reached the limit that is reached
+   */
+  void refuse(String reached) {
+    if (result.tryComplete(new Result.Refused(reached))) {
+      discard();
+      resume();
+    }
+  }
+
+  private void discard() {
+    isDiscarding = true;
+    waitingPart = null;
+    release();
+  }
+
+  /** Adds a body to a hash, in parts: a copy of the whole body would need its memory twice. */
+  static HashCode hash(Buffer hashed, Hasher hasher) {
+    for (int start = 0; start < hashed.length(); start += HASHED_PART_BYTES) {
+      hasher.putBytes(hashed.getBytes(start, Math.min(hashed.length(), start + HASHED_PART_BYTES)));
+    }
+    return hasher.hash();
+  }
+
+  /** Returns whether bytes that arrive belong to the body. */
+  boolean isReceiving() {
+    return !isEnded;
+  }
+
+  /** Returns whether the request waits for the caller to send more of the body. */
+  boolean isReading() {
+    return !isWaiting && !result.future().isComplete();
+  }
+
+  /** Returns the bytes of the body that have arrived, also those that were discarded. */
+  long bodyBytes() {
+    return bodyBytes;
+  }
+
+  /** Ends the reservation, and drops the body. */
+  void release() {
+    body = Buffer.buffer();
+    memory.release(this);
+  }
 }
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
@@ -0,0 +1,208 @@
+package org.cactusseam.edge.gateway;
+
+import io.vertx.core.http.HttpConnection;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.cactusseam.logic.memory.ByteProgress;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Connection of a caller, with what it has transferred. Owns the reservation for heads; {@link
+ * BodyReader} owns that for a body.
+ */
+final class CallerConnection implements ClientMemory.Owner {
+
+  /**
+   * Bytes received for one request beside its body. Covers the longest head and requests that
+   * follow on the same connection.
+   */
+  private static final long MAX_FRAMING_BYTES = 128 << 10;
+
+  /**
+   * Bytes received for each byte of a body, beyond {@link #MAX_FRAMING_BYTES}. Chunks of one byte
+   * take six, and decoding them takes the event loop from the other callers.
+   */
+  private static final long MAX_BYTES_PER_BODY_BYTE = 3;
+
+  /** Memory for each byte of a head: a header line of six bytes takes up to 200 when decoded. */
+  private static final long MEMORY_PER_HEAD_BYTE = 32;
+
+  /** Three times the time that ordinary callers take for a head, {@code header_timeout_ms}. */
+  private static final Duration MAX_HEAD_TIME = Duration.ofSeconds(9);
+
+  private final HttpConnection connection;
+  private final ConnectionMeter meter;
+  private final ClientMemory memory;
+  private final BiConsumer<CallerConnection, String> closer;
+  private final String address;
+  private final ByteProgress bodyProgress;
+  private final ByteProgress writeProgress;
+  private @Nullable BodyReader reader;
+  private int openRequests;
+  private long receivedBefore;
+  private long receivedAtLastRead;
+  private long lastReadBytes;
+  private boolean isWaiting;
+  private long headBytes;
+  private @Nullable Instant headSince;
+  private Instant idleSince;
+
+  CallerConnection(
+      HttpConnection connection,
+      ConnectionMeter meter,
+      ClientMemory memory,
+      BiConsumer<CallerConnection, String> closer,
+      Instant now) {
+    this.connection = connection;
+    this.meter = meter;
+    this.memory = memory;
+    this.closer = closer;
+    this.address =
+        connection.remoteAddress() == null ? "" : connection.remoteAddress().hostAddress();
+    this.bodyProgress = new ByteProgress(0, now);
+    this.writeProgress = new ByteProgress(0, now);
+    this.idleSince = now;
+    meter.setAdmission(this::admitBytes);
+  }
+
+  HttpConnection connection() {
+    return connection;
+  }
+
+  ConnectionMeter meter() {
+    return meter;
+  }
+
+  String address() {
+    return address;
+  }
+
+  boolean isIdle() {
+    return openRequests == 0;
+  }
+
+  Instant idleSince() {
+    return idleSince;
+  }
+
+  Optional<BodyReader> reader() {
+    return Optional.ofNullable(reader);
+  }
+
+  private boolean isReadingBody() {
+    return reader != null && reader.isReceiving();
+  }
+
+  /** Reserves memory for heads before they are decoded. */
+  private boolean admitBytes() {
+    lastReadBytes = meter.received() - receivedAtLastRead;
+    receivedAtLastRead = meter.received();
+    Optional<String> exceeded = exceededBytes();
+    if (exceeded.isPresent()) {
+      closer.accept(this, exceeded.get());
+      return false;
+    }
+    if (isReadingBody()) {
+      return true;
+    }
+    headBytes += lastReadBytes;
+    isWaiting = !memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+    return !isWaiting;
+  }
+
+  @Override
+  public void onGranted() {
+    isWaiting = false;
+    meter.release();
+  }
+
+  @Override
+  public void onRefused() {
+    closer.accept(this, "memory");
+  }
+
+  void recordRequestStart(BodyReader newReader, Instant now) {
+    openRequests++;
+    headSince = null;
+    reader = newReader;
+    newReader.whenEnded(this::recordBodyEnd);
+    bodyProgress.restart(0, now);
+  }
+
+  /** A body that was refused may end after its response. */
+  private void recordBodyEnd() {
+    if (isIdle()) {
+      receivedBefore = meter.received();
+    }
+  }
+
+  void recordRequestEnd(Instant now) {
+    openRequests--;
+    receivedBefore = meter.received();
+    idleSince = now;
+  }
+
+  /** Reduces the reservation for heads to what may be left after the end of a request. */
+  void releaseHead() {
+    if (isWaiting) {
+      return;
+    }
+    headBytes = isIdle() ? meter.received() - receivedBefore : Math.min(headBytes, lastReadBytes);
+    if (headBytes == 0) {
+      memory.release(this);
+    } else {
+      memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+    }
+  }
+
+  /** Ends all reservations, because the connection is closed. */
+  void releaseAll() {
+    memory.release(this);
+    if (reader != null) {
+      reader.release();
+    }
+  }
+
+  /**
+   * Returns the time for which the body that is being read, or the response that is being written,
+   * has made no progress. Zero if neither is in progress.
+   */
+  Duration timeWithoutProgress(Instant now) {
+    Duration reading = Duration.ZERO;
+    if (reader == null || !reader.isReading()) {
+      bodyProgress.restart(0, now);
+    } else {
+      reading = bodyProgress.timeWithoutProgress(reader.bodyBytes(), now);
+    }
+    if (meter.unsent() == 0) {
+      writeProgress.restart(meter.sent(), now);
+      return reading;
+    }
+    Duration writing = writeProgress.timeWithoutProgress(meter.sent(), now);
+    return reading.compareTo(writing) > 0 ? reading : writing;
+  }
+
+  private Optional<String> exceededBytes() {
+    if (isIdle() && isReadingBody()) {
+      // The rest of a body that was refused; it is discarded, for a bounded time.
+      return Optional.empty();
+    }
+    long bodyBytes = reader == null || isIdle() ? 0 : reader.bodyBytes();
+    long framing = meter.received() - receivedBefore - bodyBytes * MAX_BYTES_PER_BODY_BYTE;
+    return framing > MAX_FRAMING_BYTES
+        ? Optional.of(isIdle() ? "head_bytes" : "framing_bytes")
+        : Optional.empty();
+  }
+
+  /** Returns whether the caller takes too long for a head. */
+  boolean exceedsHeadTime(Instant now) {
+    if (!isIdle() || meter.received() == receivedBefore) {
+      headSince = null;
+    } else if (headSince == null) {
+      headSince = now;
+    }
+    return headSince != null && headSince.plus(MAX_HEAD_TIME).isBefore(now);
+  }
+}
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
@@ -0,0 +1,160 @@
+package org.cactusseam.edge.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Counts the bytes of a connection and stops reading from it. Pausing a request does not suffice:
+ * the library goes on to read into a queue of its own, and decodes heads before a handler can
+ * refuse them.
+ */
+final class ConnectionMeter extends ChannelDuplexHandler {
+
+  private static final int MIN_READ_BYTES = 512;
+  private static final int FIRST_READ_BYTES = 2 << 10;
+
+  /**
+   * Bytes that one read takes. Requests that follow each other in one read are decoded together,
+   * and one connection with small chunks must not keep the event loop from the others.
+   */
+  private static final int MAX_READ_BYTES = 16 << 10;
+
+  /** Decides whether bytes that have been read are decoded. */
+  @FunctionalInterface
+  interface Admission {
+
+    /** Returns false to keep the bytes until {@link ConnectionMeter#release} is called. */
+    boolean admit();
+  }
+
+  private Admission admission = () -> true;
+  private @Nullable ChannelHandlerContext context;
+  private @Nullable Runnable writableAction;
+  private @Nullable Object keptMessage;
+  private long received;
+  private long written;
+  private boolean held;
+
+  void setAdmission(Admission newAdmission) {
+    admission = newAdmission;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+    // By default, up to 16 buffers of 64 KiB are read before a handler can stop it.
+    added
+        .channel()
+        .config()
+        .setRecvByteBufAllocator(
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(1));
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext removed) {
+    ReferenceCountUtil.release(keptMessage);
+    keptMessage = null;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext from, Object message) {
+    if (message instanceof ByteBuf bytes) {
+      received += bytes.readableBytes();
+      if (!admission.admit()) {
+        keptMessage = message;
+        hold();
+        return;
+      }
+    }
+    from.fireChannelRead(message);
+  }
+
+  @Override
+  public void read(ChannelHandlerContext from) {
+    // The library may ask to read while the connection is held.
+    if (!held) {
+      from.read();
+    }
+  }
+
+  @Override
+  public void write(ChannelHandlerContext from, Object message, ChannelPromise promise) {
+    if (message instanceof ByteBuf bytes) {
+      written += bytes.readableBytes();
+    }
+    from.write(message, promise);
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext from) {
+    from.fireChannelWritabilityChanged();
+    Runnable action = writableAction;
+    if (action != null && from.channel().isWritable()) {
+      writableAction = null;
+      action.run();
+    }
+  }
+
+  /** Stops reading from the connection. */
+  void hold() {
+    held = true;
+    if (context != null) {
+      context.channel().config().setAutoRead(false);
+    }
+  }
+
+  /** Decodes the bytes that were kept, and goes on reading from the connection. */
+  void release() {
+    held = false;
+    ChannelHandlerContext to = context;
+    if (to == null) {
+      return;
+    }
+    // Before the bytes are decoded: the library may stop reading because of them.
+    to.channel().config().setAutoRead(true);
+    to.read();
+    Object kept = keptMessage;
+    if (kept != null) {
+      keptMessage = null;
+      to.fireChannelRead(kept);
+      to.fireChannelReadComplete();
+    }
+  }
+
+  boolean isWritable() {
+    return context == null || context.channel().isWritable();
+  }
+
+  /** Runs an action once when the peer has read most of what was written. */
+  void onceWritable(Runnable action) {
+    writableAction = action;
+  }
+
+  /** Returns the bytes that have been read from the connection. */
+  long received() {
+    return received;
+  }
+
+  /** Returns the bytes that the operating system has taken. */
+  long sent() {
+    return written - unsent();
+  }
+
+  /** Returns the bytes that wait for the peer to read. */
+  long unsent() {
+    if (context == null) {
+      return 0;
+    }
+    ChannelOutboundBuffer queue = context.channel().unsafe().outboundBuffer();
+    return queue == null
+        ? 0
+        : Math.max(0, queue.totalPendingWriteBytes() - queue.currentProgress());
+  }
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -461,12 +461,12 @@
       Set<String> all = new HashSet<>(partFingerprints());
       all.add(
           "request:"
-              + Hashing.murmur3_128()
-                  .newHasher()
-                  .putUnencodedChars(account.map(GatewayAccount::name).orElse(""))
-                  .putUnencodedChars("\n" + incoming.method() + " " + incoming.uri() + "\n")
-                  .putBytes(body.getBytes())
-                  .hash());
+              + BodyReader.hash(
+                  body,
+                  Hashing.murmur3_128()
+                      .newHasher()
+                      .putUnencodedChars(account.map(GatewayAccount::name).orElse(""))
+                      .putUnencodedChars("\n" + incoming.method() + " " + incoming.uri() + "\n")));
       fingerprints = Set.copyOf(all);
     }
     return fingerprints;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -91,6 +91,7 @@
     runStep("peers", () -> peers.tick(now));
     runStep("quarantine", () -> gateway.quarantine().tick(convictionStore, now));
     runStep("connections", () -> checkIdleConnections(now));
+    runStep("memory", () -> server.checkMemory(now));
     runStep("reports", () -> reportPoller.tick(recordCache.isStoreUnavailable(), now));
     gateway.active().forEach(exchange -> runStep("request", () -> exchange.tick(now)));
     runStep("queues", gateway::startQueued);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -11,8 +11,10 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.IdleConnections;
 import org.cactusseam.logic.gateway.RouteDecision;
@@ -34,6 +36,12 @@
    */
   private static final int STALL_TIMEOUT_SECONDS = 120;
 
+  /** Connections to the port for readiness checks, and to that for metrics. */
+  private static final int MAX_INTERNAL_CONNECTIONS = 32;
+
+  /** Longer than the intervals of readiness checks; a scraper connects again. */
+  private static final int INTERNAL_IDLE_SECONDS = 30;
+
   private static final int BACKLOG = 1_024;
   private static final int STATUS_OK = 200;
   private static final int STATUS_BAD_REQUEST = 400;
@@ -44,16 +52,24 @@
   private static final String RETRY_AFTER_NOT_CONFIGURED = "0.5";
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Memory is granted within 500 ms or refused; other VMs may have more. */
+  private static final String RETRY_AFTER_UNREAD = "0.8";
+
+  /** Time for which the rest of a refused body is discarded, so that the response can be read. */
+  private static final long DISCARD_MILLIS = 2_000;
+
   private final Gateway gateway;
   private final HttpServer callers;
   private final HttpServer readiness;
   private final HttpServer metrics;
   private final IdleConnections<HttpConnection> idleConnections = new IdleConnections<>();
+  private final CallerConnections connections;
   private int bodiesBeingRead;
   private boolean closing;
 
   GatewayServer(Gateway gateway) {
     this.gateway = gateway;
+    this.connections = new CallerConnections(gateway);
     HttpServerOptions options =
         new HttpServerOptions()
             .setTcpNoDelay(true)
@@ -69,8 +85,29 @@
             .createHttpServer(options)
             .connectionHandler(this::onConnected)
             .requestHandler(this::receive);
-    this.readiness = gateway.vertx().createHttpServer().requestHandler(this::handleReadiness);
-    this.metrics = gateway.vertx().createHttpServer().requestHandler(this::handleMetrics);
+    this.readiness = createInternalServer().requestHandler(this::handleReadiness);
+    this.metrics = createInternalServer().requestHandler(this::handleMetrics);
+  }
+
+  /** Creates a server of which the oldest connection is closed if there are too many. */
+  private HttpServer createInternalServer() {
+    Set<HttpConnection> open = new LinkedHashSet<>();
+    return gateway
+        .vertx()
+        .createHttpServer(
+            new HttpServerOptions()
+                .setHttp2ClearTextEnabled(false)
+                .setIdleTimeout(INTERNAL_IDLE_SECONDS))
+        .connectionHandler(
+            connection -> {
+              if (open.size() >= MAX_INTERNAL_CONNECTIONS) {
+                HttpConnection oldest = open.iterator().next();
+                open.remove(oldest);
+                oldest.close();
+              }
+              open.add(connection);
+              connection.closeHandler(closed -> open.remove(connection));
+            });
   }
 
   Future<Void> listen() {
@@ -102,9 +139,20 @@
     }
   }
 
+  /** Grants and refuses memory, and closes connections that exceed a limit. */
+  void checkMemory(Instant now) {
+    gateway.memory().tick();
+    connections.tick(now);
+  }
+
   private void onConnected(HttpConnection connection) {
     idleConnections.recordOpened(connection, gateway.clock().instant());
-    connection.closeHandler(closed -> idleConnections.recordClosed(connection));
+    connections.open(connection);
+    connection.closeHandler(
+        closed -> {
+          idleConnections.recordClosed(connection);
+          connections.remove(connection);
+        });
   }
 
   private void handleReadiness(HttpServerRequest request) {
@@ -120,34 +168,78 @@
   }
 
   private void receive(HttpServerRequest request) {
+    CallerConnection connection = connections.find(request.connection());
+    if (connection == null) {
+      // The connection was closed for a limit while this request waited behind another one.
+      request.connection().close();
+    } else if (connection.meter().isWritable()) {
+      receive(request, connection);
+    } else {
+      // The caller has not read the response before this one. Without the wait, the responses to
+      // all requests that it has sent at once would be held.
+      request.pause();
+      connection
+          .meter()
+          .onceWritable(
+              () -> {
+                receive(request, connection);
+                request.resume();
+              });
+    }
+  }
+
+  private void receive(HttpServerRequest request, CallerConnection connection) {
     if (closing) {
       // The process may exit at any moment, so the request must not reach a server.
       rejectForShutdown(request);
       return;
     }
     Instant receivedAt = gateway.clock().instant();
-    HttpConnection connection = request.connection();
-    idleConnections.recordRequestStart(connection);
+    BodyReader reader =
+        new BodyReader(
+            request, gateway.routes().limits().bodyBytes(), connection, gateway.memory());
+    idleConnections.recordRequestStart(request.connection());
+    connection.recordRequestStart(reader, receivedAt);
     request
         .response()
         .endHandler(
-            ended -> idleConnections.recordRequestEnd(connection, gateway.clock().instant()));
-    BodyReader reader = new BodyReader(request, gateway.routes().limits().bodyBytes());
+            ended -> {
+              Instant now = gateway.clock().instant();
+              idleConnections.recordRequestEnd(request.connection(), now);
+              connection.recordRequestEnd(now);
+              reader.release();
+              // A request that has arrived behind this one is started first.
+              gateway.vertx().runOnContext(ignored -> connection.releaseHead());
+            });
     bodiesBeingRead++;
     reader
         .read()
         .onComplete(read -> bodiesBeingRead--)
         .onSuccess(
-            body -> {
-              if (body.isEmpty()) {
-                reject(request, STATUS_TOO_LARGE, "the body is too long");
-              } else {
-                forward(request, body.get(), receivedAt);
+            result -> {
+              switch (result) {
+                case BodyReader.Result.Complete complete ->
+                    forward(request, complete.body(), receivedAt);
+                case BodyReader.Result.TooLong tooLong ->
+                    reject(request, STATUS_TOO_LARGE, "the body is too long");
+                case BodyReader.Result.Refused refused ->
+                    refuseUnread(request, reader, refused.limit());
               }
             })
         .onFailure(cause -> LOG.debug("request_broken_off", field("cause", cause.getMessage())));
   }
 
+  /** Refuses a request whose body has not been read, and discards what arrives of the body. */
+  private void refuseUnread(HttpServerRequest request, BodyReader reader, String limit) {
+    gateway.metrics().increment("cactusseam_requests_unread_total{limit=\"" + limit + "\"}");
+    // An announced close would be carried out at once: with unread bytes that is a reset, and the
+    // caller could lose the response.
+    request.response().putHeader("Retry-After", RETRY_AFTER_UNREAD);
+    reject(request, STATUS_UNAVAILABLE, "the request was not read, limit: " + limit);
+    long timer = gateway.vertx().setTimer(DISCARD_MILLIS, elapsed -> request.connection().close());
+    reader.whenEnded(() -> gateway.vertx().cancelTimer(timer));
+  }
+
   private void forward(HttpServerRequest request, Buffer body, Instant receivedAt) {
     Either<String, CallerRequest> decoded = gateway.headerCodec().decode(request);
     if (decoded.isLeft()) {
