Bound what connections of other gateways hold

The peers' port accepted any number of connections, each with an incomplete frame of up to 1 MiB. FrameReader counts the bytes of its incomplete frame.

No test reaches the new bounds.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -56,10 +56,12 @@
   private final LoadBroadcastPolicy broadcastPolicy = new LoadBroadcastPolicy();
   private final PeerReachability reachability = new PeerReachability();
   private final RecordReplicator replicator;
+  private final PeerConnections inbound;
 
   GatewayPeers(Gateway gateway, RecordCache recordCache) {
     this.gateway = gateway;
     this.recordCache = recordCache;
+    this.inbound = new PeerConnections(gateway.metrics());
     this.server =
         gateway
             .vertx()
@@ -176,14 +178,24 @@
   private void accept(NetSocket socket) {
     socket.exceptionHandler(cause -> socket.close());
     InboundConnection peer = new InboundConnection(socket);
-    socket.closeHandler(closed -> onInboundClosed(peer));
-    socket.handler(
+    FrameReader reader =
         new FrameReader(
             frame ->
                 GatewayMessageCodec.decode(frame)
                     .onSuccess(peer::receive)
                     .onFailure(cause -> reject(socket, String.valueOf(cause.getMessage()))),
-            fault -> reject(socket, fault)));
+            fault -> reject(socket, fault));
+    inbound.open(socket, reader);
+    socket.closeHandler(
+        closed -> {
+          inbound.remove(socket);
+          onInboundClosed(peer);
+        });
+    socket.handler(
+        bytes -> {
+          reader.handle(bytes);
+          inbound.checkPending(reader);
+        });
   }
 
   /** Drops the loads of a peer whose connection has ended, unless it has opened another one. */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/FrameReader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/FrameReader.java
@@ -16,6 +16,7 @@
   private final Consumer<String> faultHandler;
   private boolean expectsLength = true;
   private boolean failed;
+  private long pendingBytes;
 
   /**
    * Creates a reader.
@@ -32,11 +33,22 @@
   @Override
   public void handle(Buffer bytes) {
     if (!failed) {
+      pendingBytes += bytes.length();
       parser.handle(bytes);
     }
   }
 
+  /**
+   * Returns the bytes that have arrived of a frame that is not complete.
+   *
+   * @return bytes that the reader holds
+   */
+  public long pendingBytes() {
+    return pendingBytes;
+  }
+
   private void handlePart(Buffer part) {
+    pendingBytes -= part.length();
     if (failed) {
       return;
     }
