--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
@@ -1,5 +1,6 @@
 package org.cactusseam.model.gateway;
 
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -10,9 +11,15 @@
  * @param signed whether the response carries a receipt, which only a run produces
  * @param attempt which attempt the response names
  * @param ofOtherServer whether the response names a server other than the expected one
+ * @param statedPace pace that the response states; empty if it states none that is valid
  */
 public record ServerReply(
-    int status, boolean statesNotRun, boolean signed, NamedAttempt attempt, boolean ofOtherServer) {
+    int status,
+    boolean statesNotRun,
+    boolean signed,
+    NamedAttempt attempt,
+    boolean ofOtherServer,
+    Optional<ServerPace> statedPace) {
 
   /** Status of a server that is not the one to which the request is addressed. */
   public static final int STATUS_MISDIRECTED = 421;
@@ -70,6 +77,16 @@
     return attempt != NamedAttempt.OTHER;
   }
 
+  /**
+   * Returns the pace of the server to which the request was sent. A response that names another
+   * server, or answers another attempt, says nothing about that server at this moment.
+   *
+   * @return stated pace, or empty if the response states none of this server
+   */
+  public Optional<ServerPace> paceOfServer() {
+    return ofOtherServer || !answersAttempt() ? Optional.empty() : statedPace;
+  }
+
   /**
    * Returns whether the response reports success.
    *
