Refuse requests early that cannot start in time, if enabled

A request that cannot be started was refused only at the end of its time in the queue, and all refused callers came back after 0.8 s. Active only with gateway.overload.early-refusal; the default is off.

QueueForecastTest (6 cases), OverloadReplayTest (16), RequestQueueTest (14), GatewayFeaturesDecoderTest (4) pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GatewayFeatures.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GatewayFeatures.java
@@ -10,12 +10,14 @@
  * @param hedging limits of second attempts for slow responses
  * @param memory limits of the memory that is held for clients
  * @param relays exchange of loads between many gateways
+ * @param overload behaviour when capacity is insufficient
  */
 public record GatewayFeatures(
     Optional<RolloutSettings> rollouts,
     HedgingSettings hedging,
     MemorySettings memory,
-    RelaySettings relays) {
+    RelaySettings relays,
+    OverloadSettings overload) {
 
   /** Features of a deployment that enables none. */
   public static final GatewayFeatures DEFAULTS =
@@ -23,5 +25,6 @@
           Optional.empty(),
           HedgingSettings.DEFAULTS,
           MemorySettings.DEFAULTS,
-          RelaySettings.DEFAULTS);
+          RelaySettings.DEFAULTS,
+          OverloadSettings.DEFAULTS);
 }
