--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RequestQueue.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RequestQueue.java
@@ -1,6 +1,5 @@
 package org.cactusseam.logic.gateway;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -8,9 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
@@ -33,8 +30,6 @@
   /** Virtual time at which the last request of each account ends. */
   private final Map<String, Double> accountEnds = new HashMap<>();
 
-  private final QueueForecast forecast = new QueueForecast();
-
   private double virtualTime;
   private long nextNumber;
 
@@ -103,66 +98,19 @@
    * @param start tries to start a request; returns whether it leaves the queue
    */
   public void startWaiting(Instant now, Predicate<T> start) {
-    int starts = 0;
     for (Entry<T> entry : ordered(now)) {
       if (!entries.remove(entry)) {
         continue;
       }
       if (start.test(entry.request)) {
-        starts++;
         virtualTime = Math.max(virtualTime, entry.virtualStart);
       } else if (!entry.isRemoved) {
         entries.add(entry);
       }
     }
-    forecast.record(starts, entries.size(), now);
     forgetIdleAccounts();
   }
 
-  /**
-   * Returns the waiting requests that cannot be expected to start in time, by the rate at which
-   * requests have started during the last seconds and by what waits ahead of each. They do not
-   * count as waiting ahead of others.
-   *
-   * @param timeLeft returns the time within which a request must start
-   * @return requests in the order of the queue; empty while the rate is not known
-   */
-  public List<T> findTooLate(Instant now, Function<T, Duration> timeLeft) {
-    OptionalDouble rate = forecast.startsPerSecond();
-    List<T> tooLate = new ArrayList<>();
-    if (rate.isEmpty()) {
-      return tooLate;
-    }
-    int ahead = 0;
-    for (Entry<T> entry : ordered(now)) {
-      if (QueueForecast.isTooLate(ahead, timeLeft.apply(entry.request), rate.getAsDouble())) {
-        tooLate.add(entry.request);
-      } else {
-        ahead++;
-      }
-    }
-    return tooLate;
-  }
-
-  /**
-   * Returns the rate at which requests have started while others waited, during the last seconds.
-   *
-   * @return requests per second; empty if it is not known
-   */
-  public OptionalDouble startsPerSecond() {
-    return forecast.startsPerSecond();
-  }
-
-  /**
-   * Returns the time after which a caller that is refused now should retry. Each call takes another
-   * one of the times at which capacity is expected.
-   *
-   * @return time to retry; 0.8 s while the rate is not known
-   */
-  public Duration takeRetryAfter(Instant now) {
-    return forecast.takeRetryAfter(entries.size(), now);
-  }
-
   private List<Entry<T>> ordered(Instant now) {
     List<Entry<T>> ordered = new ArrayList<>(entries);
     ordered.sort(
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GatewayFeatures.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GatewayFeatures.java
@@ -10,14 +10,12 @@
  * @param hedging limits of second attempts for slow responses
  * @param memory limits of the memory that is held for clients
  * @param relays exchange of loads between many gateways
- * @param overload behaviour when capacity is insufficient
  */
 public record GatewayFeatures(
     Optional<RolloutSettings> rollouts,
     HedgingSettings hedging,
     MemorySettings memory,
-    RelaySettings relays,
-    OverloadSettings overload) {
+    RelaySettings relays) {
 
   /** Features of a deployment that enables none. */
   public static final GatewayFeatures DEFAULTS =
@@ -25,6 +23,5 @@
           Optional.empty(),
           HedgingSettings.DEFAULTS,
           MemorySettings.DEFAULTS,
-          RelaySettings.DEFAULTS,
-          OverloadSettings.DEFAULTS);
+          RelaySettings.DEFAULTS);
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GatewayRoute.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/GatewayRoute.java
@@ -1,7 +1,6 @@
 package org.cactusseam.model.gateway;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -50,21 +49,4 @@
     services = List.copyOf(services);
     regions = Set.copyOf(regions);
   }
-
-  /**
-   * Returns the regions in which a request of an account may run.
-   *
-   * @param accountRegions regions to which the account is restricted; empty if all are allowed
-   * @return allowed regions; empty if all are allowed
-   */
-  public Set<String> allowedRegions(Set<String> accountRegions) {
-    if (regions.isEmpty() || accountRegions.isEmpty()) {
-      return regions.isEmpty() ? accountRegions : regions;
-    }
-    Set<String> common = new HashSet<>(regions);
-    common.retainAll(accountRegions);
-    // Both the route and the account restrict regions and have none in common. The empty name
-    // matches no region, so that no server is eligible.
-    return common.isEmpty() ? Set.of("") : common;
-  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -58,6 +58,9 @@
    */
   private static final double QUEUE_TIME_PER_REMAINING_TIME = 0.25;
 
+  /** Value of {@code Retry-After} in refusals. Capacity becomes free within about 1 s. */
+  private static final Duration RETRY_AFTER = Duration.ofMillis(800);
+
   /** Other VMs accept the request at once. */
   static final Duration RETRY_AFTER_DRAINING = Duration.ofMillis(50);
 
@@ -87,7 +90,6 @@
   private boolean closeAnnounced;
   private long deadlineTimer;
   private long queueTimer = -1;
-  private Instant queueUntil = Instant.MAX;
   private RequestQueue.@Nullable Entry<Exchange> queueEntry;
 
   Exchange(
@@ -139,10 +141,10 @@
     }
     RequestQueue<Exchange> queue = gateway.queue(service.name());
     queueEntry = queue.add(queueClaim(), this);
-    Duration queueTime = maximumQueueTime();
-    queueUntil = gateway.clock().instant().plus(queueTime);
     queueTimer =
-        gateway.vertx().setTimer(Math.max(1, queueTime.toMillis()), timer -> handleQueueTimeout());
+        gateway
+            .vertx()
+            .setTimer(Math.max(1, maximumQueueTime().toMillis()), timer -> handleQueueTimeout());
     gateway.startQueued(queue);
     endIfWaitingPastExit();
   }
@@ -225,36 +227,28 @@
     }
   }
 
-  final Duration queueTimeLeft() {
-    return Duration.between(gateway.clock().instant(), queueUntil);
-  }
-
-  /** Ends the request, which waits and cannot be expected to start within its time. */
-  final void refuseEarly() {
-    if (!finished && queueEntry != null) {
-      RequestQueue<Exchange> queue = gateway.queue(service.name());
-      gateway
-          .metrics()
-          .increment("cactusseam_refused_early_total{service=\"" + service.name() + "\"}");
-      log.info(
-          "refused_early",
-          field("waiting", queue.size()),
-          field("starts_per_s", queue.startsPerSecond().orElse(0)),
-          field("queue_ms_left", queueTimeLeft().toMillis()));
-      handleQueueTimeout();
-    }
-  }
-
   final ServerSelector.Requirements requirements() {
     return new ServerSelector.Requirements(
         service,
-        route.allowedRegions(account.map(GatewayAccount::regions).orElse(Set.of())),
+        allowedRegions(),
         expectedTokens(),
         excluded,
         head.attemptId().hashCode(),
         route.name());
   }
 
+  private Set<String> allowedRegions() {
+    Set<String> accountRegions = account.map(GatewayAccount::regions).orElse(Set.of());
+    if (route.regions().isEmpty() || accountRegions.isEmpty()) {
+      return route.regions().isEmpty() ? accountRegions : route.regions();
+    }
+    Set<String> common = new HashSet<>(route.regions());
+    common.retainAll(accountRegions);
+    // Both the route and the account restrict regions and have none in common. The empty name
+    // matches no region, so that no server is eligible.
+    return common.isEmpty() ? Set.of("") : common;
+  }
+
   final int expectedTokens() {
     return head.demand().map(GenerationDemand::expectedTokens).orElse(0);
   }
@@ -482,8 +476,7 @@
       return;
     }
     HttpServerResponse response = incoming.response();
-    Duration retryAfter =
-        gateway.isDraining() ? RETRY_AFTER_DRAINING : gateway.takeRetryAfter(service.name());
+    Duration retryAfter = gateway.isDraining() ? RETRY_AFTER_DRAINING : RETRY_AFTER;
     response.putHeader("Retry-After", Double.toString(retryAfter.toMillis() / MILLIS_PER_SECOND));
     fail(STATUS_UNAVAILABLE, reason, "refused");
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -41,9 +41,6 @@
   /** The process exits this long before the platform would kill it. */
   private static final Duration EXIT_MARGIN = Duration.ofMillis(300);
 
-  /** Value of {@code Retry-After} in refusals. Capacity becomes free within about 1 s. */
-  private static final Duration RETRY_AFTER = Duration.ofMillis(800);
-
   private final Vertx vertx;
   private final Clock clock;
   private final GatewaySettings settings;
@@ -272,23 +269,9 @@
     List.copyOf(queues.values()).forEach(this::startQueued);
   }
 
-  /**
-   * Starts the requests of one queue for which a server has capacity. If the deployment enables it,
-   * refuses those that cannot be expected to start in time.
-   */
+  /** Starts the requests of one queue for which a server has capacity. */
   void startQueued(RequestQueue<Exchange> queue) {
-    Instant now = clock.instant();
-    queue.startWaiting(now, Exchange::tryStart);
-    if (settings.features().overload().earlyRefusal()) {
-      queue.findTooLate(now, Exchange::queueTimeLeft).forEach(Exchange::refuseEarly);
-    }
-  }
-
-  /** Returns the time after which a caller should retry whose request is refused now. */
-  Duration takeRetryAfter(String service) {
-    return settings.features().overload().earlyRefusal()
-        ? queue(service).takeRetryAfter(clock.instant())
-        : RETRY_AFTER;
+    queue.startWaiting(clock.instant(), Exchange::tryStart);
   }
 
   void add(Exchange exchange) {
