Choose the distance of a server without the random part

The random part of the load factor grows with load and pace, and outweighed the cost of the link between the regions. The distance is now chosen by the cost without it, and the part decides between the servers at that distance.

ServerSelectorTest has cases with two regions.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -227,19 +228,43 @@
    */
   public Optional<ServerInstance> choose(Requirements requirements) {
     Instant now = clock.instant();
-    boolean isPaced = isPaced(requirements.service());
-    return servers.usable(requirements.service().name()).stream()
-        .filter(server -> isAllowed(requirements, server))
-        .filter(server -> hasRoom(requirements, server))
-        .filter(server -> !health.isSuspended(server.id(), now))
-        .filter(server -> isWithinRate(requirements.service(), server, now))
+    List<ServerInstance> candidates =
+        servers.usable(requirements.service().name()).stream()
+            .filter(server -> isAllowed(requirements, server))
+            .filter(server -> hasRoom(requirements, server))
+            .filter(server -> !health.isSuspended(server.id(), now))
+            .filter(server -> isWithinRate(requirements.service(), server, now))
+            .toList();
+    return isPaced(requirements.service())
+        ? choosePaced(requirements, candidates, now)
+        : candidates.stream()
+            .min(Comparator.comparingDouble(server -> cost(requirements, server, 1)));
+  }
+
+  /**
+   * Chooses the distance by the cost without the pseudo-random part, then a server at this distance
+   * by the cost with it. Otherwise the pseudo-random part, which grows with the load, would send
+   * requests to another region at equal load.
+   */
+  private Optional<ServerInstance> choosePaced(
+      Requirements requirements, List<ServerInstance> candidates, Instant now) {
+    return candidates.stream()
         .min(
             Comparator.comparingDouble(
-                server ->
-                    cost(
-                        requirements,
-                        server,
-                        isPaced ? loadFactor(requirements, server, now) : 1)));
+                server -> cost(requirements, server, paceFactor(requirements, server, now))))
+        .map(this::distanceCost)
+        .flatMap(
+            distance ->
+                candidates.stream()
+                    .filter(server -> distanceCost(server) == distance)
+                    .min(
+                        Comparator.comparingDouble(
+                            server ->
+                                cost(
+                                    requirements,
+                                    server,
+                                    paceFactor(requirements, server, now)
+                                        * (1 + PACE_JITTER * spread(requirements, server))))));
   }
 
   /**
@@ -353,13 +378,8 @@
         + distanceCost(server);
   }
 
-  /**
-   * Returns the factor by which the load of a server counts at a service whose servers state their
-   * pace: the expected duration of work, with a pseudo-random part.
-   */
-  private double loadFactor(Requirements requirements, ServerInstance server, Instant now) {
-    return paces.factor(server.id(), requirements.route(), now)
-        * (1 + PACE_JITTER * spread(requirements, server));
+  private double paceFactor(Requirements requirements, ServerInstance server, Instant now) {
+    return paces.factor(server.id(), requirements.route(), now);
   }
 
   private double load(Requirements requirements, ServerInstance server) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerSelectorTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerSelectorTest.java
@@ -275,6 +275,56 @@
     choosePlain(400).values().forEach(count -> assertThat(count, lessThanOrEqualTo(160)));
   }
 
+  /**
+   * Guards against a random part that outweighs the cost of the link between the regions: with the
+   * same load on all servers, requests left the region.
+   */
+  @ParameterizedTest(name = "{0} runs at each server, pace {1}: {2} sent away")
+  @CsvSource({"0, 100, 0", "8, 250, 0", "22, 100, 0", "22, 250, 0"})
+  void the_random_part_does_not_send_requests_to_another_region(
+      int runs, int percent, int sentAway) {
+    listInBothRegions(percent);
+    for (int index = 0; index < 5; index++) {
+      addRuns("own-" + index, runs);
+      addRuns("other-" + index, runs);
+    }
+
+    assertThat(countPrefix(choosePlain(400), "other-"), is(sentAway));
+  }
+
+  /** Guards against a distance that can't be outweighed by the load of the own region. */
+  @Test
+  void requests_go_to_another_region_when_all_servers_of_the_own_one_are_more_loaded() {
+    listInBothRegions(100);
+    for (int index = 0; index < 5; index++) {
+      addRuns("own-" + index, 12);
+    }
+
+    assertThat(countPrefix(choosePlain(400), "other-"), is(400));
+  }
+
+  private void listInBothRegions(int percent) {
+    for (int index = 0; index < 5; index++) {
+      servers.put(GatewayFixtures.server("own-" + index, "plain", "ost-wien"), Instant.EPOCH);
+      servers.put(GatewayFixtures.server("other-" + index, "plain", "west-ibk"), Instant.EPOCH);
+      paces.recordStatement("own-" + index, new ServerPace(percent), clock.instant());
+      paces.recordStatement("other-" + index, new ServerPace(percent), clock.instant());
+    }
+  }
+
+  private void addRuns(String id, int number) {
+    for (int run = 0; run < number; run++) {
+      loads.addRun(id, 0);
+    }
+  }
+
+  private static int countPrefix(Map<String, Integer> choices, String prefix) {
+    return choices.entrySet().stream()
+        .filter(choice -> choice.getKey().startsWith(prefix))
+        .mapToInt(Map.Entry::getValue)
+        .sum();
+  }
+
   private Map<String, Integer> choosePlain(int number) {
     Map<String, Integer> choices = new HashMap<>();
     for (int request = 0; request < number; request++) {
