Measure paces only where responses tell them

- Statements and durations of attempts sent before the end of a pause of the gateway, or before the reset of the server identity, are ignored.
Statements of peers from before the reset are ignored as well.
- Durations are measured only at services of which a server states a pace.
- A contradiction begins at a factor of 1.75 and ends at 1.4.
With one limit, 200 requests near it changed the state 189 times; now once.
- Measurements of routes that leave the configuration are removed.

The use of ProcessPauses in Gateway has no test of its own here.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RouteTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RouteTable.java
@@ -96,6 +96,12 @@
     return Optional.ofNullable(current).map(known -> known.services().get(name));
   }
 
+  /** Returns whether a route of this name is configured. */
+  public boolean hasRoute(String name) {
+    return current != null
+        && current.routes().stream().anyMatch(route -> route.name().equals(name));
+  }
+
   /**
    * Returns all configured services.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerPaces.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerPaces.java
@@ -65,6 +65,12 @@
    */
   private static final double UNTRUE_RATIO = 1.75;
 
+  /**
+   * Ratio below which a contradiction ends. It is lower than the one from which it begins, so that
+   * an average near the limit does not begin and end it again and again.
+   */
+  private static final double TRUE_AGAIN_RATIO = 1.4;
+
   /** Time constant with which measurements lose their effect at a server that is not used. */
   private static final Duration MEASUREMENT_DECAY = Duration.ofSeconds(10);
 
@@ -75,6 +81,7 @@
   private final Map<String, Statements> statements = new HashMap<>();
   private final Map<Work, Double> usualLogMillis = new HashMap<>();
   private final Map<String, Map<String, Measurements>> measurements = new HashMap<>();
+  private final Map<String, Instant> resetAt = new HashMap<>();
 
   /**
    * Kind of work whose durations are comparable between servers.
@@ -133,6 +140,7 @@
     private int count;
     private double logMeasured;
     private double logUnpredicted;
+    private boolean contradicts;
     private Instant newestAt = Instant.MIN;
 
     private void add(double measured, double unpredicted, Instant now) {
@@ -141,10 +149,8 @@
       logUnpredicted += (unpredicted - logUnpredicted) * weight;
       count = Math.min(count + 1, MIN_MEASUREMENTS);
       newestAt = now;
-    }
-
-    private boolean contradictStatements() {
-      return count >= MIN_MEASUREMENTS && Math.abs(logUnpredicted) > Math.log(UNTRUE_RATIO);
+      double limit = Math.log(contradicts ? TRUE_AGAIN_RATIO : UNTRUE_RATIO);
+      contradicts = count >= MIN_MEASUREMENTS && Math.abs(logUnpredicted) > limit;
     }
 
     private double factor(Instant now) {
@@ -173,17 +179,19 @@
   }
 
   /**
-   * Records the statements that a peer has received. An older one than the newest known has no
-   * effect.
+   * Records the statements that a peer has received. One that is older than the newest known, or
+   * than the last reset of the server, has no effect.
    *
    * @param paces statements by server identifier
    */
   public void recordPeerStatements(Map<String, AgedPace> paces, Instant now) {
     paces.forEach(
-        (serverId, aged) ->
-            statements
-                .computeIfAbsent(serverId, id -> new Statements())
-                .add(aged.pace(), now.minusMillis(aged.ageMillis())));
+        (serverId, aged) -> {
+          Instant statedAt = now.minusMillis(aged.ageMillis());
+          if (isOfCurrentProcess(serverId, statedAt)) {
+            statements.computeIfAbsent(serverId, id -> new Statements()).add(aged.pace(), statedAt);
+          }
+        });
   }
 
   /**
@@ -227,9 +235,9 @@
         measurements
             .computeIfAbsent(serverId, id -> new HashMap<>())
             .computeIfAbsent(work.route(), route -> new Measurements());
-    boolean before = measured.contradictStatements();
+    boolean before = measured.contradicts;
     measured.add(logMillis - usual, logMillis - usual - logStated, now);
-    return before != measured.contradictStatements();
+    return before != measured.contradicts;
   }
 
   /**
@@ -247,7 +255,7 @@
    */
   public boolean isContradicted(String serverId, String route) {
     Measurements measured = measurements.getOrDefault(serverId, Map.of()).get(route);
-    return measured != null && measured.contradictStatements();
+    return measured != null && measured.contradicts;
   }
 
   /**
@@ -258,23 +266,40 @@
    */
   public double factor(String serverId, String route, Instant now) {
     Measurements measured = measurements.getOrDefault(serverId, Map.of()).get(route);
-    if (measured != null && measured.contradictStatements()) {
+    if (measured != null && measured.contradicts) {
       return measured.factor(now);
     }
     Statements stated = statements.get(serverId);
     return stated == null ? 1 : limited(stated.factor(now));
   }
 
-  /** Removes the state of a server that has restarted or left. */
-  public void forget(String serverId) {
+  /**
+   * Removes the state of a server identity that a new process has taken over.
+   *
+   * @param now time before which all statements are those of the previous process
+   */
+  public void reset(String serverId, Instant now) {
     statements.remove(serverId);
     measurements.remove(serverId);
+    resetAt.put(serverId, now);
+  }
+
+  /** Returns whether something at this time was not before the last reset of a server. */
+  public boolean isOfCurrentProcess(String serverId, Instant at) {
+    return !at.isBefore(resetAt.getOrDefault(serverId, Instant.MIN));
+  }
+
+  /** Removes the measurements of all routes that are not configured. */
+  public void retainRoutes(Predicate<String> isConfigured) {
+    usualLogMillis.keySet().removeIf(work -> !isConfigured.test(work.route()));
+    measurements.values().forEach(routes -> routes.keySet().removeIf(isConfigured.negate()));
   }
 
   /** Removes the state of all servers that are not listed. */
   public void retain(Predicate<String> isListed) {
     statements.keySet().removeIf(isListed.negate());
     measurements.keySet().removeIf(isListed.negate());
+    resetAt.keySet().removeIf(isListed.negate());
   }
 
   private static double limited(double factor) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerPacesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerPacesTest.java
@@ -158,11 +158,64 @@
   @Test
   void a_restarted_or_unlisted_server_is_forgotten() {
     state(250);
-    paces.forget("s-1");
+    paces.reset("s-1", clock.instant());
     assertThat(paces.hasStatement("s-1"), is(false));
 
     state(250);
     paces.retain(id -> false);
     assertThat(paces.hasStatement("s-1"), is(false));
   }
+
+  /** Guards against statements of the previous process that arrive through a peer. */
+  @ParameterizedTest(name = "statement {0} ms old, reset 100 ms ago: counts {1}")
+  @CsvSource({"150, false", "50, true"})
+  void statements_from_before_a_reset_are_ignored(int ageMillis, boolean counts) {
+    paces.reset("s-1", clock.instant());
+    clock.advance(100);
+    paces.recordPeerStatements(
+        Map.of("s-1", new AgedPace(new ServerPace(250), ageMillis)), clock.instant());
+
+    assertThat(paces.hasStatement("s-1"), is(counts));
+  }
+
+  /** Guards against a log line for each request of a server near the limit of a contradiction. */
+  @Test
+  void a_contradiction_near_its_limit_does_not_begin_again_and_again() {
+    int changes = 0;
+    for (int request = 0; request < 200; request++) {
+      for (int other = 2; other < 12; other++) {
+        measure("s-" + other, "lookup", 100, 100);
+      }
+      // The average of these is near 1.75 times the usual duration, which is the limit.
+      if (measureChange(request % 2 == 0 ? 100 : 346)) {
+        changes++;
+      }
+    }
+
+    assertThat(changes, is(1));
+  }
+
+  private boolean measureChange(int millis) {
+    return paces.recordDuration(
+        "s-1",
+        new ServerPaces.Work("lookup", true),
+        Duration.ofMillis(millis),
+        Optional.of(new ServerPace(100)),
+        clock.instant());
+  }
+
+  /** Guards against a route that is configured again with the durations of its former work. */
+  @Test
+  void measurements_of_a_removed_route_are_removed() {
+    measureSlowLookups();
+    assertThat(paces.isContradicted("s-1", "lookup"), is(true));
+    paces.retainRoutes("booking"::equals);
+    assertThat(paces.isContradicted("s-1", "lookup"), is(false));
+
+    // With the former usual duration, these would be 10 times as long as usual.
+    for (int request = 0; request < 20; request++) {
+      measure("s-2", "lookup", 1_000, 100);
+    }
+    assertThat(paces.isContradicted("s-2", "lookup"), is(false));
+  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -178,7 +178,7 @@
       if (released) {
         return;
       }
-      ServerReply reply = gateway.decodeReply(response, head.attemptId(), server);
+      ServerReply reply = gateway.decodeReply(response, head.attemptId(), server, sentAt);
       if (reply.notRun()) {
         recordStatement(server, reply);
         runs--;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.EngineReports;
 import org.cactusseam.logic.gateway.LeavingServers;
+import org.cactusseam.logic.gateway.ProcessPauses;
 import org.cactusseam.logic.gateway.RequestQueue;
 import org.cactusseam.logic.gateway.RouteTable;
 import org.cactusseam.logic.gateway.ServerHealth;
@@ -61,6 +62,7 @@
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> active = new LinkedHashSet<>();
   private final Instant startedAt;
+  private final ProcessPauses pauses;
   private final SharerCount sharerCount;
   private int vmCount = 1;
   private int pendingWrites;
@@ -84,6 +86,7 @@
     this.vertx = vertx;
     this.clock = clock;
     this.startedAt = clock.instant();
+    this.pauses = new ProcessPauses(startedAt);
     this.sharerCount = new SharerCount(startedAt);
     this.settings = settings;
     this.headerCodec = headerCodec;
@@ -157,19 +160,42 @@
    *
    * @param attemptId identifier of the attempt that was sent
    * @param server server to which it was sent
+   * @param sentAt time at which it was sent
    */
-  ServerReply decodeReply(HttpClientResponse response, String attemptId, ServerInstance server) {
+  ServerReply decodeReply(
+      HttpClientResponse response, String attemptId, ServerInstance server, Instant sentAt) {
     ServerReply reply =
         headerCodec.decode(response.statusCode(), response.headers(), attemptId, server.id());
     reply
         .paceOfServer()
+        .filter(pace -> isMeasurable(server, sentAt))
         .ifPresent(pace -> paces.recordStatement(server.id(), pace, clock.instant()));
     return reply;
   }
 
-  /** Records the duration of a request that a server has answered with success. */
+  /** Returns whether the response to an attempt tells how long work takes at a server now. */
+  private boolean isMeasurable(ServerInstance server, Instant sentAt) {
+    return !pauses.isAffected(sentAt, clock.instant())
+        && paces.isOfCurrentProcess(server.id(), sentAt);
+  }
+
+  /** Detects a pause of this process, such as a freeze of its machine. */
+  void checkPause(Instant now) {
+    pauses
+        .tick(now)
+        .ifPresent(gap -> LOG.info("process_paused", field("duration_ms", gap.toMillis())));
+  }
+
+  /**
+   * Records the duration of a request that a server has answered with success, at a service whose
+   * servers state their pace.
+   */
   void recordDuration(
       ServerInstance server, GatewayRoute route, Instant sentAt, Optional<ServerPace> stated) {
+    boolean isPaced = routes.service(server.service()).filter(serverSelector::isPaced).isPresent();
+    if (!isPaced || !isMeasurable(server, sentAt)) {
+      return;
+    }
     Instant now = clock.instant();
     Duration duration = Duration.between(sentAt, now);
     boolean isOwnRegion = settings.location().isOwnRegion(server.failureDomain());
@@ -228,7 +254,7 @@
    */
   void resetServer(ServerInstance server) {
     health.forget(server.id());
-    paces.forget(server.id());
+    paces.reset(server.id(), clock.instant());
     leavingServers.clear(server.id());
     reports.forget(server.id());
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -86,6 +86,7 @@
    */
   private void tick() {
     Instant now = gateway.clock().instant();
+    runStep("pauses", () -> gateway.checkPause(now));
     runStep("servers", () -> expireServers(now));
     runStep("selection", gateway.serverSelector()::tick);
     runStep("peers", () -> peers.tick(now));
@@ -162,6 +163,7 @@
   @Override
   public void onConfiguration(GatewayConfiguration configuration) {
     if (gateway.routes().apply(configuration)) {
+      gateway.paces().retainRoutes(gateway.routes()::hasRoute);
       LOG.info(
           "configuration",
           field("version", configuration.version()),
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -38,6 +38,7 @@
   private final StreamStallDetector stallDetector;
   private final StreamOnset onset = new StreamOnset();
   private boolean released;
+  private Instant sentAt = Instant.MIN;
   private int pendingPrefillTokens;
 
   StreamRun(
@@ -102,6 +103,7 @@
       request.reset();
       return;
     }
+    sentAt = gateway.clock().instant();
     if (continuation.isEmpty()) {
       exchange.runs++;
     }
@@ -127,7 +129,7 @@
     }
     stallDetector.recordActivity(gateway.clock().instant());
     response = received;
-    ServerReply reply = gateway.decodeReply(received, exchange.head.attemptId(), server);
+    ServerReply reply = gateway.decodeReply(received, exchange.head.attemptId(), server, sentAt);
     if (reply.notRun()) {
       exchange.recordStatement(server, reply);
       if (continuation.isEmpty()) {
