--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -18,15 +19,20 @@
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.EngineReports;
 import org.cactusseam.logic.gateway.LeavingServers;
+import org.cactusseam.logic.gateway.ProcessPauses;
 import org.cactusseam.logic.gateway.RequestQueue;
 import org.cactusseam.logic.gateway.RouteTable;
 import org.cactusseam.logic.gateway.ServerHealth;
 import org.cactusseam.logic.gateway.ServerLoads;
+import org.cactusseam.logic.gateway.ServerPaces;
 import org.cactusseam.logic.gateway.ServerSelector;
 import org.cactusseam.logic.gateway.ServerTable;
 import org.cactusseam.logic.gateway.SharedRetryBudget;
 import org.cactusseam.logic.gateway.SharerCount;
+import org.cactusseam.model.gateway.GatewayRoute;
 import org.cactusseam.model.gateway.ServerInstance;
+import org.cactusseam.model.gateway.ServerPace;
+import org.cactusseam.model.gateway.ServerReply;
 
 /** State that all requests of a gateway share. Confined to the event loop. */
 public final class Gateway {
@@ -47,6 +53,7 @@
   private final RouteTable routes = new RouteTable();
   private final ServerTable servers = new ServerTable();
   private final ServerLoads loads = new ServerLoads();
+  private final ServerPaces paces = new ServerPaces();
   private final ServerHealth health = new ServerHealth();
   private final LeavingServers leavingServers = new LeavingServers();
   private final EngineReports reports = new EngineReports();
@@ -56,6 +63,7 @@
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> active = new LinkedHashSet<>();
   private final Instant startedAt;
+  private final ProcessPauses pauses;
   private final SharerCount sharerCount;
   private int vmCount = 1;
   private int pendingWrites;
@@ -79,6 +87,7 @@
     this.vertx = vertx;
     this.clock = clock;
     this.startedAt = clock.instant();
+    this.pauses = new ProcessPauses(startedAt);
     this.sharerCount = new SharerCount(startedAt);
     this.settings = settings;
     this.headerCodec = headerCodec;
@@ -96,6 +105,7 @@
             settings.location(),
             servers,
             loads,
+            paces,
             health,
             leavingServers,
             reports,
@@ -147,6 +157,79 @@
     return loads;
   }
 
+  ServerPaces paces() {
+    return paces;
+  }
+
+  /**
+   * Decodes the head of a server's response, and records the pace that it states.
+   *
+   * @param attemptId identifier of the attempt that was sent
+   * @param server server to which it was sent
+   * @param sentAt time at which it was sent
+   */
+  ServerReply decodeReply(
+      HttpClientResponse response, String attemptId, ServerInstance server, Instant sentAt) {
+    ServerReply reply =
+        headerCodec.decode(response.statusCode(), response.headers(), attemptId, server.id());
+    reply
+        .paceOfServer()
+        .filter(pace -> isMeasurable(server, sentAt))
+        .ifPresent(pace -> paces.recordStatement(server.id(), pace, clock.instant()));
+    return reply;
+  }
+
+  /** Returns whether the response to an attempt tells how long work takes at a server now. */
+  private boolean isMeasurable(ServerInstance server, Instant sentAt) {
+    return !pauses.isAffected(sentAt, clock.instant())
+        && paces.isOfCurrentProcess(server.id(), sentAt);
+  }
+
+  /** Detects a pause of this process, such as a freeze of its machine. */
+  void checkPause(Instant now) {
+    pauses
+        .tick(now)
+        .ifPresent(gap -> LOG.info("process_paused", field("duration_ms", gap.toMillis())));
+  }
+
+  /**
+   * Records the duration of a request that a server has answered with success, at a service whose
+   * servers state their pace.
+   */
+  void recordDuration(
+      ServerInstance server, GatewayRoute route, Instant sentAt, Optional<ServerPace> stated) {
+    boolean isPaced = routes.service(server.service()).filter(serverSelector::isPaced).isPresent();
+    if (!isPaced || !isMeasurable(server, sentAt)) {
+      return;
+    }
+    Instant now = clock.instant();
+    Duration duration = Duration.between(sentAt, now);
+    boolean isOwnRegion = settings.location().isOwnRegion(server.failureDomain());
+    if (paces.recordDuration(
+        server.id(), new ServerPaces.Work(route.name(), isOwnRegion), duration, stated, now)) {
+      metrics.increment(
+          "cactusseam_pace_contradictions_total{route=\""
+              + route.name()
+              + "\",contradicted=\""
+              + paces.isContradicted(server.id(), route.name())
+              + "\"}");
+      LOG.info(
+          "pace_contradicted",
+          field("server", server.id()),
+          field("route", route.name()),
+          field("contradicted", paces.isContradicted(server.id(), route.name())),
+          field("stated_percent", stated.map(ServerPace::percent).orElse(-1)),
+          field("duration_ms", duration.toMillis()),
+          field("estimate_percent", pacePercent(server, route)));
+    }
+  }
+
+  /** Returns the estimated duration of work at a server in percent of the usual one. */
+  long pacePercent(ServerInstance server, GatewayRoute route) {
+    return Math.round(
+        ServerPace.USUAL_PERCENT * paces.factor(server.id(), route.name(), clock.instant()));
+  }
+
   LeavingServers leavingServers() {
     return leavingServers;
   }
@@ -172,11 +255,12 @@
   }
 
   /**
-   * Discards the health, departure and report of a server identity that a new process has taken
-   * over.
+   * Discards the health, pace, departure and report of a server identity that a new process has
+   * taken over.
    */
   void resetServer(ServerInstance server) {
     health.forget(server.id());
+    paces.reset(server.id(), clock.instant());
     leavingServers.clear(server.id());
     reports.forget(server.id());
   }
