--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -143,6 +144,18 @@
       regions = Set.copyOf(regions);
       excluded = Set.copyOf(excluded);
     }
+
+    /**
+     * Returns the same requirements with more servers excluded.
+     *
+     * @param more identifiers of servers that must not be chosen either
+     * @return requirements that exclude both
+     */
+    public Requirements excluding(Set<String> more) {
+      Set<String> all = new HashSet<>(excluded);
+      all.addAll(more);
+      return new Requirements(service, regions, tokens, all, spread);
+    }
   }
 
   /**
@@ -195,6 +208,25 @@
         .anyMatch(each -> isAllowed(requirements, each));
   }
 
+  /**
+   * Returns the share of the slots of the allowed servers that are taken.
+   *
+   * @param requirements requirements of the request
+   * @return share from 0 to 1; 0 if no server has a known number of slots
+   */
+  public double occupancy(Requirements requirements) {
+    long runs = 0;
+    long slots = 0;
+    for (ServerInstance server : servers.usable(requirements.service().name())) {
+      int slotsOfServer = slots(requirements, server);
+      if (isAllowed(requirements, server) && slotsOfServer < Integer.MAX_VALUE) {
+        runs += Math.min(slotsOfServer, loads.total(server.id()).runs());
+        slots += slotsOfServer;
+      }
+    }
+    return slots == 0 ? 0 : (double) runs / slots;
+  }
+
   /**
    * Chooses the server with the lowest cost that has free capacity.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/SharedRetryBudget.java
@@ -74,9 +74,20 @@
    * @return whether the retry may be sent, and what decided it
    */
   public Decision tryReserve(int vms, Instant now) {
+    return tryReserveFraction(1, vms, now);
+  }
+
+  /**
+   * Reserves one retry if a part of the budget allows it. The rest stays for {@link #tryReserve}.
+   *
+   * @param fraction part of the budget that may be used, from 0 to 1
+   * @param vms number of VMs that share the allowance
+   * @return whether the retry may be sent, and what decided it
+   */
+  public Decision tryReserveFraction(double fraction, int vms, Instant now) {
     expire(requests, window, now);
     expire(sentRetries, window.plus(ARRIVAL_DELAY), now);
-    double limit = USED_FRACTION * (ratio * requests.size() + allowanceShare(vms, now));
+    double limit = fraction * USED_FRACTION * (ratio * requests.size() + allowanceShare(vms, now));
     int used = sentRetries.size() + reservedRetries;
     Decision decision = new Decision(used + 1 <= limit, used, limit, vms);
     if (decision.isAllowed()) {
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/HedgingSettings.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/HedgingSettings.java
@@ -10,6 +10,9 @@
  */
 public record HedgingSettings(OptionalDouble extraShare) {
 
+  /** Largest share of extra requests of the services whose servers report a pace. */
+  public static final double DEFAULT_EXTRA_SHARE = 0.03;
+
   /** Hedges only the services whose servers report a pace. */
   public static final HedgingSettings DEFAULTS = new HedgingSettings(OptionalDouble.empty());
 }
