Send slow repeatable requests to a second server

BufferedExchange holds up to two attempts at once. The first complete valid response is delivered; the other attempt is released from the load counts and its connection closed. A failure, a refusal or a crash check of one attempt waits for the other. While two attempts run, the limit on silent attempts has no effect; it applies again to the one that is left. A timer that fires late is followed by a second check, so that a gateway that was paused reads its responses first. Gateway.isHedged answers from the setting gateway.hedging.extra-share alone; without it nothing is hedged.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/HedgingPolicy.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/HedgingPolicy.java
@@ -135,8 +135,7 @@
     if (request.age().compareTo(threshold) < 0) {
       return new HedgeDecision.Wait(threshold.minus(request.age()));
     }
-    boolean isLate = request.age().compareTo(threshold.plus(MAX_TIMER_DELAY)) > 0;
-    if (isLate && !request.isRechecked()) {
+    if (request.lateness().compareTo(MAX_TIMER_DELAY) > 0) {
       return new HedgeDecision.Wait(RECHECK_DELAY);
     }
     times.recordOutcome(true);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/SlowRequest.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/SlowRequest.java
@@ -14,7 +14,7 @@
  * @param server server of the first attempt
  * @param age time since the first attempt was sent
  * @param remaining time until the deadline of the request
- * @param isRechecked whether the decision was postponed before
+ * @param lateness time by which the timer of the decision fired later than it was set
  * @param isDraining whether the gateway drains
  * @param waiting number of requests that wait for a server of the service
  * @param retryBudget retry budget of the service
@@ -27,7 +27,7 @@
     ServerInstance server,
     Duration age,
     Duration remaining,
-    boolean isRechecked,
+    Duration lateness,
     boolean isDraining,
     int waiting,
     SharedRetryBudget retryBudget,
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
@@ -85,13 +85,13 @@
   }
 
   private SlowRequest slow(ServerInstance server) {
-    return request(server, USUAL.plusMillis(1), false, false, 0, Duration.ofSeconds(2));
+    return request(server, USUAL.plusMillis(1), Duration.ZERO, false, 0, Duration.ofSeconds(2));
   }
 
   private SlowRequest request(
       ServerInstance server,
       Duration age,
-      boolean isRechecked,
+      Duration lateness,
       boolean isDraining,
       int waiting,
       Duration remaining) {
@@ -102,7 +102,7 @@
         server,
         age,
         remaining,
-        isRechecked,
+        lateness,
         isDraining,
         waiting,
         budget,
@@ -130,7 +130,13 @@
   @Test
   void a_request_waits_until_its_attempt_exceeds_the_threshold() {
     SlowRequest early =
-        request(instances.get(0), Duration.ofMillis(15), false, false, 0, Duration.ofSeconds(2));
+        request(
+            instances.get(0),
+            Duration.ofMillis(15),
+            Duration.ZERO,
+            false,
+            0,
+            Duration.ofSeconds(2));
 
     assertThat(decide(early), is(new HedgeDecision.Wait(Duration.ofMillis(25))));
   }
@@ -138,14 +144,15 @@
   /** Guards against a VM that was frozen and hedges requests whose responses it has not read. */
   @Test
   void a_timer_that_fires_late_leads_to_a_second_check() {
-    Duration late = USUAL.plus(HedgingPolicy.MAX_TIMER_DELAY).plusMillis(1);
+    Duration late = HedgingPolicy.MAX_TIMER_DELAY.plusMillis(1);
+    Duration age = USUAL.plus(late);
     ServerInstance first = instances.get(0);
 
     assertThat(
-        decide(request(first, late, false, false, 0, Duration.ofSeconds(2))),
+        decide(request(first, age, late, false, 0, Duration.ofSeconds(2))),
         is(new HedgeDecision.Wait(HedgingPolicy.RECHECK_DELAY)));
     assertThat(
-        decide(request(first, late, true, false, 0, Duration.ofSeconds(2))),
+        decide(request(first, age, Duration.ZERO, false, 0, Duration.ofSeconds(2))),
         is(instanceOf(HedgeDecision.Send.class)));
   }
 
@@ -165,7 +172,7 @@
     Duration age = USUAL.plusMillis(1);
 
     assertThat(
-        decide(request(instances.get(0), age, false, true, 0, Duration.ofSeconds(2))),
+        decide(request(instances.get(0), age, Duration.ZERO, true, 0, Duration.ofSeconds(2))),
         is(denied(Reason.DRAINING)));
   }
 
@@ -174,7 +181,7 @@
     Duration age = USUAL.plusMillis(1);
 
     assertThat(
-        decide(request(instances.get(0), age, false, false, 1, Duration.ofSeconds(2))),
+        decide(request(instances.get(0), age, Duration.ZERO, false, 1, Duration.ofSeconds(2))),
         is(denied(Reason.QUEUE)));
   }
 
@@ -194,7 +201,7 @@
     Duration age = USUAL.plusMillis(1);
 
     assertThat(
-        decide(request(instances.get(0), age, false, false, 0, USUAL)),
+        decide(request(instances.get(0), age, Duration.ZERO, false, 0, USUAL)),
         is(denied(Reason.LITTLE_TIME)));
   }
 
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgingSimulation.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgingSimulation.java
@@ -241,7 +241,7 @@
         call.vm
             .policy()
             .threshold("lookup", clock.instant())
-            .ifPresent(threshold -> at(threshold, () -> considerSecond(call, false)));
+            .ifPresent(threshold -> at(threshold, () -> considerSecond(call)));
       }
     }
   }
@@ -275,7 +275,7 @@
     startWaiting();
   }
 
-  private void considerSecond(Call call, boolean isRechecked) {
+  private void considerSecond(Call call) {
     if (call.isDone) {
       return;
     }
@@ -289,7 +289,7 @@
             first.server(),
             Duration.between(first.sentAt(), now),
             TIMEOUT,
-            isRechecked,
+            Duration.ZERO,
             false,
             waiting.size(),
             call.vm.budget(),
@@ -299,7 +299,7 @@
         recordExtra(now);
         send(call, second.server());
       }
-      case HedgeDecision.Wait later -> at(later.delay(), () -> considerSecond(call, true));
+      case HedgeDecision.Wait later -> at(later.delay(), () -> considerSecond(call));
       case HedgeDecision.Denied no -> denied.merge(no.reason(), 1, Integer::sum);
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -8,9 +8,13 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusseam.edge.backend.BoundedBody;
 import org.cactusseam.logic.gateway.RouteDecision;
+import org.cactusseam.logic.hedging.HedgeDecision;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayService;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -33,9 +37,16 @@
   /** Maximum length of a buffered response, a small part of the memory of a process. */
   static final int MAX_RESPONSE_BYTES = 8 << 20;
 
-  private @Nullable Attempt current;
+  /**
+   * Attempts whose end has not been handled yet: at most two, the second of which is a hedged one.
+   * An attempt that broke off stays here while its server is checked for a crash.
+   */
+  private final Set<Attempt> open = new LinkedHashSet<>();
+
+  private @Nullable Attempt first;
   private @Nullable CompleteResponse failure;
   private boolean hasBegun;
+  private boolean isHedgeable;
 
   private record CompleteResponse(ServerReply reply, HttpClientResponse response, Buffer body) {}
 
@@ -52,16 +63,29 @@
 
   @Override
   void send(ServerInstance server) {
+    boolean isFirst = first == null;
+    Attempt attempt = startAttempt(server);
+    if (isFirst) {
+      first = attempt;
+      isHedgeable = gateway.hedging().appliesTo(this);
+      if (isHedgeable) {
+        gateway.hedging().recordFirst(this).ifPresent(attempt::scheduleHedge);
+      }
+    }
+  }
+
+  private Attempt startAttempt(ServerInstance server) {
     recordSend(server);
-    current = new Attempt(server);
-    current.start();
+    Attempt attempt = new Attempt(server);
+    open.add(attempt);
+    attempt.start();
+    return attempt;
   }
 
   @Override
   void cancel() {
-    if (current != null) {
-      current.abort();
-    }
+    List.copyOf(open).forEach(Attempt::abort);
+    open.clear();
   }
 
   @Override
@@ -96,11 +120,19 @@
     return route.repetition().isRepeatable() && runs < route.maximumRuns();
   }
 
-  private void retryOrFail(ServerInstance attempted, String reason) {
+  /** Handles the failure of an attempt, unless another attempt can still answer the request. */
+  private void retryOrFail(Attempt failed, String reason) {
+    open.remove(failed);
     if (isFinished()) {
       return;
     }
+    ServerInstance attempted = failed.server;
     excluded.add(attempted.id());
+    if (!open.isEmpty()) {
+      log.info("attempt_failed", field("server", attempted.id()), field("reason", reason));
+      open.forEach(Attempt::limitSilence);
+      return;
+    }
     boolean canRetry = runs == 0 || canRunAgain();
     if (canRetry
         && gateway.serverSelector().isServable(requirements())
@@ -111,6 +143,41 @@
     }
   }
 
+  /** Sends the request to a second server as well if its first attempt is slow. */
+  private void considerHedge(Attempt slow, Instant dueAt) {
+    if (isFinished() || !slow.isRunning()) {
+      return;
+    }
+    endIfQuarantined();
+    if (isFinished()) {
+      return;
+    }
+    switch (gateway.hedging().decide(this, slow.server, slow.sentAt, dueAt)) {
+      case HedgeDecision.Send second -> startAttempt(second.server());
+      case HedgeDecision.Wait later -> slow.scheduleHedgeIn(later.delay());
+      case HedgeDecision.Denied no -> {
+        // The first attempt goes on alone; RequestHedging has logged the reason.
+      }
+    }
+  }
+
+  /**
+   * Records the time of the attempt that answered the request, and that of the first one if it was
+   * slower.
+   */
+  private void recordTimes(Attempt winner) {
+    if (!isHedgeable) {
+      return;
+    }
+    gateway.hedging().recordResponse(this, winner.server, winner.sentAt);
+    if (open.stream().anyMatch(Attempt::isRunning)) {
+      gateway.hedging().recordWinner(this, winner != first);
+      if (first != null && winner != first && first.isRunning()) {
+        gateway.hedging().recordResponse(this, first.server, first.sentAt);
+      }
+    }
+  }
+
   private void deliver(CompleteResponse complete) {
     if (isFinished()) {
       return;
@@ -134,8 +201,11 @@
   /** One attempt of the request at one server. */
   private final class Attempt {
     private final ServerInstance server;
+    private final Instant sentAt = gateway.clock().instant();
     private @Nullable HttpClientRequest outgoing;
+    private @Nullable Instant connectedAt;
     private long attemptTimer = -1;
+    private long hedgeTimer = -1;
     private boolean released;
     private boolean headReceived;
 
@@ -153,6 +223,21 @@
           .onFailure(cause -> onUnreachable(cause.toString()));
     }
 
+    /** Returns whether the attempt can still answer the request. */
+    boolean isRunning() {
+      return !released;
+    }
+
+    void scheduleHedge(Duration age) {
+      scheduleHedgeIn(age.minus(Duration.between(sentAt, gateway.clock().instant())));
+    }
+
+    void scheduleHedgeIn(Duration delay) {
+      long delayMillis = Math.max(1, delay.toMillis());
+      Instant dueAt = gateway.clock().instant().plusMillis(delayMillis);
+      hedgeTimer = gateway.vertx().setTimer(delayMillis, timer -> considerHedge(this, dueAt));
+    }
+
     private void onConnected(HttpClientRequest request) {
       outgoing = request;
       if (released) {
@@ -160,10 +245,9 @@
         return;
       }
       runs++;
+      connectedAt = gateway.clock().instant();
       if (canRunAgain()) {
-        Duration attemptTimeout =
-            route.targetLatency().multipliedBy(ATTEMPT_TIMEOUT_TARGET_LATENCIES);
-        attemptTimer = gateway.vertx().setTimer(attemptTimeout.toMillis(), timer -> onSilent());
+        startSilenceTimer(Duration.ZERO);
       }
       request
           .response()
@@ -172,6 +256,21 @@
       sendBody(request);
     }
 
+    /** Starts the timer again, which has no effect while two attempts run. */
+    void limitSilence() {
+      if (!released && connectedAt != null && canRunAgain()) {
+        startSilenceTimer(Duration.between(connectedAt, gateway.clock().instant()));
+      }
+    }
+
+    private void startSilenceTimer(Duration elapsed) {
+      Duration attemptTimeout =
+          route.targetLatency().multipliedBy(ATTEMPT_TIMEOUT_TARGET_LATENCIES).minus(elapsed);
+      gateway.vertx().cancelTimer(attemptTimer);
+      attemptTimer =
+          gateway.vertx().setTimer(Math.max(1, attemptTimeout.toMillis()), timer -> onSilent());
+    }
+
     private void onResponse(HttpClientResponse response) {
       if (released) {
         return;
@@ -185,7 +284,7 @@
         runs--;
         release();
         abortConnection();
-        retryOrFail(server, "not run, status " + reply.status());
+        retryOrFail(this, "not run, status " + reply.status());
         return;
       }
       if (reply.isIgnoredStatement()) {
@@ -217,11 +316,14 @@
       if (complete.reply().status() >= 500) {
         gateway.health().recordFailure(server.id());
         failure = complete;
-        retryOrFail(server, "status " + complete.reply().status());
+        retryOrFail(this, "status " + complete.reply().status());
         return;
       }
       gateway.health().recordSuccess(server.id());
+      open.remove(this);
+      recordTimes(this);
       deliver(complete);
+      cancel();
     }
 
     private void onUnreachable(String reason) {
@@ -231,7 +333,7 @@
       release();
       gateway.health().recordUnreachable(server.id(), gateway.clock().instant());
       log.info("unreachable", field("server", server.id()), field("reason", reason));
-      retryOrFail(server, "cannot connect");
+      retryOrFail(this, "cannot connect");
     }
 
     private void onBroken(String reason) {
@@ -243,18 +345,21 @@
       gateway.health().recordFailure(server.id());
       log.info("broken", field("server", server.id()), field("reason", reason));
       recordUnanswered(server, headReceived)
-          .onComplete(checked -> retryOrFail(server, "the server broke off"));
+          .onComplete(checked -> retryOrFail(this, "the server broke off"));
     }
 
     private void onSilent() {
-      if (released) {
+      if (released || open.size() > 1) {
         return;
       }
+      if (isHedgeable) {
+        gateway.hedging().recordResponse(BufferedExchange.this, server, sentAt);
+      }
       release();
       abortConnection();
       gateway.health().recordFailure(server.id());
       log.info("broken", field("server", server.id()), field("reason", "silent"));
-      retryOrFail(server, "the server is silent");
+      retryOrFail(this, "the server is silent");
     }
 
     void abort() {
@@ -272,8 +377,8 @@
 
     private void release() {
       released = true;
-      current = null;
       gateway.vertx().cancelTimer(attemptTimer);
+      gateway.vertx().cancelTimer(hedgeTimer);
       gateway.loads().removeRun(server.id(), 0);
       gateway.vertx().runOnContext(ignored -> gateway.startQueued());
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package org.cactusseam.edge.gateway;
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
+import static org.cactusseam.model.gateway.HedgingSettings.DEFAULT_EXTRA_SHARE;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -26,6 +27,7 @@
 import org.cactusseam.logic.gateway.ServerTable;
 import org.cactusseam.logic.gateway.SharedRetryBudget;
 import org.cactusseam.logic.gateway.SharerCount;
+import org.cactusseam.logic.hedging.HedgingPolicy;
 import org.cactusseam.model.gateway.ServerInstance;
 
 /** State that all requests of a gateway share. Confined to the event loop. */
@@ -54,6 +56,7 @@
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> active = new LinkedHashSet<>();
+  private final RequestHedging hedging;
   private final Instant startedAt;
   private final SharerCount sharerCount;
   private int vmCount = 1;
@@ -98,6 +101,15 @@
             leavingServers,
             reports,
             settings.coldTolerance());
+    this.hedging =
+        new RequestHedging(
+            this,
+            new HedgingPolicy(
+                settings.retryWindow(),
+                settings.features().hedging().extraShare().orElse(DEFAULT_EXTRA_SHARE),
+                startedAt,
+                servers,
+                serverSelector));
     setVmCount(1);
   }
 
@@ -202,6 +214,19 @@
     return retryBudget(service).tryReserve(vmCount, clock.instant());
   }
 
+  RequestHedging hedging() {
+    return hedging;
+  }
+
+  /** Returns whether slow requests of a service may be sent to a second server. */
+  boolean isHedged(String service) {
+    return settings.features().hedging().extraShare().orElse(0) > 0;
+  }
+
+  int vmCount() {
+    return vmCount;
+  }
+
   RequestQueue<Exchange> queue(String service) {
     return queues.computeIfAbsent(service, name -> new RequestQueue<>());
   }
