--- a/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/ServerTimeliness.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/ServerTimeliness.java
@@ -16,8 +16,11 @@
   /** Time for which an observation counts. The pace of servers changes several times a second. */
   private static final Duration MEMORY = Duration.ofSeconds(3);
 
-  /** Number of slow servers of a failure domain from which the cause may be the domain. */
-  private static final int MIN_SLOW_OF_DOMAIN = 2;
+  /**
+   * Number of slow servers from which the cause may be one that they share. One slow server says
+   * nothing about others, which may have had no requests of this VM in a time of little load.
+   */
+  private static final int MIN_SLOW = 2;
 
   private final Map<String, Observation> newest = new HashMap<>();
 
@@ -39,13 +42,13 @@
   }
 
   /**
-   * Returns whether most of the observed servers are slow. Then the first server is in no other
-   * state than the rest, and a second attempt only adds load.
+   * Returns whether at least two and most of the observed servers are slow. Then the first server
+   * is in no other state than the rest, and a second attempt only adds load.
    */
   boolean areMostSlow(Collection<ServerInstance> servers) {
     long observed = servers.stream().filter(server -> newest.containsKey(server.id())).count();
     long slow = servers.stream().filter(this::isSlow).count();
-    return 2 * slow > observed;
+    return slow >= MIN_SLOW && 2 * slow > observed;
   }
 
   /**
@@ -64,7 +67,7 @@
     for (ServerInstance server : servers) {
       long slowOfDomain = slow.getOrDefault(server.failureDomain(), 0L);
       long sizeOfDomain = sizes.getOrDefault(server.failureDomain(), 0L);
-      boolean isDomainSlow = slowOfDomain >= MIN_SLOW_OF_DOMAIN && 2 * slowOfDomain >= sizeOfDomain;
+      boolean isDomainSlow = slowOfDomain >= MIN_SLOW && 2 * slowOfDomain >= sizeOfDomain;
       if (isSlow(server) || isDomainSlow) {
         unsuitable.add(server.id());
       }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
@@ -226,6 +226,14 @@
     assertThat(decide(slow(instances.get(0))), is(denied(Reason.ALL_SLOW)));
   }
 
+  /** Guards against a service with little load that is never hedged: one server gets all of it. */
+  @Test
+  void a_server_without_recent_responses_may_get_a_second_attempt() {
+    clock.advance(4_000);
+
+    assertThat(serverOf(decide(slow(instances.get(0)))), is(not("s-0")));
+  }
+
   @Test
   void leaving_and_cold_servers_get_no_second_attempt() {
     for (ServerInstance server : instances.subList(1, SERVERS)) {
