Drop observations of servers that have left

Without a slow request, the observations of servers were never expired. They are now expired when one is recorded.

HedgeDecisionTest 14, HedgingPolicyTest 17, HedgedRequestsTest 14 cases pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/ServerTimeliness.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/hedging/ServerTimeliness.java
@@ -27,6 +27,8 @@
   private record Observation(Instant at, boolean isSlow) {}
 
   void record(String serverId, boolean isSlow, Instant now) {
+    // Removes the servers that have left as well.
+    expire(now);
     newest.put(serverId, new Observation(now, isSlow));
   }
 
