Do not pass on the refusal of one server after two attempts

A plain 429, 408, 503 or 421 of one of two servers won against the attempt that was still running, and told the caller that its request had not run. It now counts as a failure of its attempt, and is never the final response: the request ends with the failure of the other server or with 502.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -47,6 +47,7 @@
   private @Nullable CompleteResponse failure;
   private boolean hasBegun;
   private boolean isHedgeable;
+  private boolean isHedged;
 
   private record CompleteResponse(ServerReply reply, HttpClientResponse response, Buffer body) {}
 
@@ -153,7 +154,10 @@
       return;
     }
     switch (gateway.hedging().decide(this, slow.server, slow.sentAt, dueAt)) {
-      case HedgeDecision.Send second -> startAttempt(second.server());
+      case HedgeDecision.Send second -> {
+        isHedged = true;
+        startAttempt(second.server());
+      }
       case HedgeDecision.Wait later -> slow.scheduleHedgeIn(later.delay());
       case HedgeDecision.Denied no -> {
         // The first attempt goes on alone; RequestHedging has logged the reason.
@@ -313,10 +317,15 @@
       }
       release();
       recordAnswered();
-      if (complete.reply().status() >= 500) {
+      int status = complete.reply().status();
+      // After two attempts, the refusal of one server says nothing about the other run.
+      boolean isRefusalOfOne = isHedged && ServerReply.isRefusal(status);
+      if (status >= 500 || isRefusalOfOne) {
         gateway.health().recordFailure(server.id());
-        failure = complete;
-        retryOrFail(this, "status " + complete.reply().status());
+        if (!isRefusalOfOne) {
+          failure = complete;
+        }
+        retryOrFail(this, "status " + status);
         return;
       }
       gateway.health().recordSuccess(server.id());
