Give up two silent attempts for a third one

The timer of each attempt fired once and had no effect while two attempts ran, so two silent servers kept a request until its deadline. When both are past their limit, the older one is given up; the timer of the other then starts again.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -212,6 +212,7 @@
     private long hedgeTimer = -1;
     private boolean released;
     private boolean headReceived;
+    private boolean isPastLimit;
 
     Attempt(ServerInstance server) {
       this.server = server;
@@ -260,7 +261,7 @@
       sendBody(request);
     }
 
-    /** Starts the timer again, which has no effect while two attempts run. */
+    /** Starts the timer again, because the attempt may now be the only one. */
     void limitSilence() {
       if (!released && connectedAt != null && canRunAgain()) {
         startSilenceTimer(Duration.between(connectedAt, gateway.clock().instant()));
@@ -358,9 +359,17 @@
     }
 
     private void onSilent() {
-      if (released || open.size() > 1) {
+      if (released) {
         return;
       }
+      isPastLimit = true;
+      if (open.stream().allMatch(each -> each.isRunning() && each.isPastLimit)) {
+        // The timer of a remaining attempt starts again when this one is removed.
+        open.iterator().next().giveUp();
+      }
+    }
+
+    private void giveUp() {
       if (isHedgeable) {
         gateway.hedging().recordResponse(BufferedExchange.this, server, sentAt);
       }
