Record the failures of servers whose attempt lost

Hedging hid dead servers: an attempt that was cancelled because the other one was faster recorded nothing. The result of its connection now reaches the health of the server, and silence beyond the limit counts as a failure.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -213,6 +213,7 @@
     private boolean released;
     private boolean headReceived;
     private boolean isPastLimit;
+    private boolean hasLost;
 
     Attempt(ServerInstance server) {
       this.server = server;
@@ -268,9 +269,12 @@
       }
     }
 
+    private Duration silenceLimit() {
+      return route.targetLatency().multipliedBy(ATTEMPT_TIMEOUT_TARGET_LATENCIES);
+    }
+
     private void startSilenceTimer(Duration elapsed) {
-      Duration attemptTimeout =
-          route.targetLatency().multipliedBy(ATTEMPT_TIMEOUT_TARGET_LATENCIES).minus(elapsed);
+      Duration attemptTimeout = silenceLimit().minus(elapsed);
       gateway.vertx().cancelTimer(attemptTimer);
       attemptTimer =
           gateway.vertx().setTimer(Math.max(1, attemptTimeout.toMillis()), timer -> onSilent());
@@ -333,17 +337,20 @@
       open.remove(this);
       recordTimes(this);
       deliver(complete);
+      open.forEach(Attempt::lose);
       cancel();
     }
 
     private void onUnreachable(String reason) {
-      if (released) {
+      if (released && !hasLost) {
         return;
       }
-      release();
       gateway.health().recordUnreachable(server.id(), gateway.clock().instant());
       log.info("unreachable", field("server", server.id()), field("reason", reason));
-      retryOrFail(this, "cannot connect");
+      if (!released) {
+        release();
+        retryOrFail(this, "cannot connect");
+      }
     }
 
     private void onBroken(String reason) {
@@ -380,6 +387,23 @@
       retryOrFail(this, "the server is silent");
     }
 
+    /**
+     * Ends the attempt because the other one was faster, and records what is known of its server.
+     */
+    private void lose() {
+      if (released) {
+        return;
+      }
+      hasLost = true;
+      if (connectedAt != null
+          && !headReceived
+          && gateway.clock().instant().isAfter(connectedAt.plus(silenceLimit()))) {
+        gateway.health().recordFailure(server.id());
+        log.info("broken", field("server", server.id()), field("reason", "silent"));
+      }
+      abort();
+    }
+
     void abort() {
       if (!released) {
         release();
