Do not hedge a request whose response has begun

A response that is arriving needs no second run. A quarantined request whose response has begun was not ended either, so it could be sent to another server. A crash check that ends after the other attempt has answered no longer leaves a suspicion against the request.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -48,6 +48,7 @@
   private boolean hasBegun;
   private boolean isHedgeable;
   private boolean isHedged;
+  private boolean isAnswered;
 
   private record CompleteResponse(ServerReply reply, HttpClientResponse response, Buffer body) {}
 
@@ -146,7 +147,7 @@
 
   /** Sends the request to a second server as well if its first attempt is slow. */
   private void considerHedge(Attempt slow, Instant dueAt) {
-    if (isFinished() || !slow.isRunning()) {
+    if (isFinished() || hasBegun || !slow.isRunning()) {
       return;
     }
     endIfQuarantined();
@@ -335,6 +336,7 @@
       }
       gateway.health().recordSuccess(server.id());
       open.remove(this);
+      isAnswered = isHedged;
       recordTimes(this);
       deliver(complete);
       open.forEach(Attempt::lose);
@@ -362,7 +364,14 @@
       gateway.health().recordFailure(server.id());
       log.info("broken", field("server", server.id()), field("reason", reason));
       recordUnanswered(server, headReceived)
-          .onComplete(checked -> retryOrFail(this, "the server broke off"));
+          .onComplete(
+              checked -> {
+                if (isAnswered) {
+                  // The check has recorded its suspicion after the other attempt disproved it.
+                  recordAnswered();
+                }
+                retryOrFail(this, "the server broke off");
+              });
     }
 
     private void onSilent() {
