Count only usable servers in the occupancy of a service

Free slots of suspended and cold servers hid an overload, and a service without slots always seemed idle. Such servers are skipped, and the connection limit stands for unknown slots.

HedgeDecisionTest before: 2 of 16 fail; now 16 of 16 pass. HedgingPolicyTest: 17 of 17 pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
@@ -209,19 +209,24 @@
   }
 
   /**
-   * Returns the share of the slots of the allowed servers that are taken.
+   * Returns the share of the slots that are taken, of the allowed servers that are neither
+   * suspended nor warming up. The connection limit stands for the slots of a server that has none.
    *
    * @param requirements requirements of the request
-   * @return share from 0 to 1; 0 if no server has a known number of slots
+   * @return share from 0 to 1; 0 if no server has a known limit
    */
   public double occupancy(Requirements requirements) {
+    Instant now = clock.instant();
     long runs = 0;
     long slots = 0;
     for (ServerInstance server : servers.usable(requirements.service().name())) {
-      int slotsOfServer = slots(requirements, server);
-      if (isAllowed(requirements, server) && slotsOfServer < Integer.MAX_VALUE) {
-        runs += Math.min(slotsOfServer, loads.total(server.id()).runs());
-        slots += slotsOfServer;
+      int limit = capacity(requirements, server);
+      if (limit > 0
+          && isAllowed(requirements, server)
+          && !health.isSuspended(server.id(), now)
+          && !servers.isWarmingUp(server.id(), now)) {
+        runs += Math.min(limit, loads.total(server.id()).runs());
+        slots += limit;
       }
     }
     return slots == 0 ? 0 : (double) runs / slots;
@@ -316,6 +321,11 @@
     return slots > 0 ? slots : Integer.MAX_VALUE;
   }
 
+  private static int capacity(Requirements requirements, ServerInstance server) {
+    int slots = slots(requirements, server);
+    return slots < Integer.MAX_VALUE ? slots : requirements.service().connectionLimit();
+  }
+
   private static OptionalInt memory(GatewayService service) {
     return service
         .engine()
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
@@ -41,6 +41,7 @@
   private final PausedClock clock = new PausedClock(Instant.EPOCH);
   private final ServerTable servers = new ServerTable();
   private final ServerLoads loads = new ServerLoads();
+  private final ServerHealth health = new ServerHealth();
   private final LeavingServers leavingServers = new LeavingServers();
   private final List<ServerInstance> instances = new ArrayList<>();
   private final ServerSelector selector =
@@ -49,7 +50,7 @@
           new ServerSelector.Location("ost-wien", Map.of("ost-wien", "ost", "ost-graz", "ost")),
           servers,
           loads,
-          new ServerHealth(),
+          health,
           leavingServers,
           new EngineReports(),
           new ColdLimit.Tolerance(1.5, 5));
@@ -196,6 +197,46 @@
     assertThat(decide(slow(instances.get(0))), is(denied(Reason.BUSY)));
   }
 
+  /** Guards against free slots of servers that cannot be used, which hide an overload. */
+  @Test
+  void slots_of_suspended_and_cold_servers_do_not_count_as_free() {
+    for (ServerInstance server : instances.subList(0, 3)) {
+      for (int run = 0; run < SLOTS - 1; run++) {
+        loads.addRun(server.id(), 0);
+      }
+    }
+    for (ServerInstance server : instances.subList(3, SERVERS)) {
+      health.recordUnreachable(server.id(), clock.instant());
+    }
+    servers.put(server("cold", "ost-wien"), clock.instant());
+
+    assertThat(decide(slow(instances.get(0))), is(denied(Reason.BUSY)));
+  }
+
+  /** Guards against a service without slots that always seems idle. */
+  @Test
+  void the_connection_limit_counts_where_no_slots_are_known() {
+    for (ServerInstance server : instances) {
+      servers.put(
+          new ServerInstance(
+              server.id(),
+              1,
+              SERVICE.name(),
+              "127.0.0.1",
+              8_000,
+              server.failureDomain(),
+              0,
+              false,
+              Duration.ZERO),
+          Instant.EPOCH.minusSeconds(60));
+      for (int run = 0; run < 80; run++) {
+        loads.addRun(server.id(), 0);
+      }
+    }
+
+    assertThat(decide(slow(instances.get(0))), is(denied(Reason.BUSY)));
+  }
+
   @Test
   void a_request_near_its_deadline_is_not_hedged() {
     Duration age = USUAL.plusMillis(1);
