--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -165,6 +166,18 @@
         GatewayService service, Set<String> regions, int tokens, Set<String> excluded, int spread) {
       this(service, regions, tokens, excluded, spread, "");
     }
+
+    /**
+     * Returns the same requirements with more servers excluded.
+     *
+     * @param more identifiers of servers that must not be chosen either
+     * @return requirements that exclude both
+     */
+    public Requirements excluding(Set<String> more) {
+      Set<String> all = new HashSet<>(excluded);
+      all.addAll(more);
+      return new Requirements(service, regions, tokens, all, spread, route);
+    }
   }
 
   /**
@@ -220,6 +233,30 @@
         .anyMatch(each -> isAllowed(requirements, each));
   }
 
+  /**
+   * Returns the share of the slots that are taken, of the allowed servers that are neither
+   * suspended nor warming up. The connection limit stands for the slots of a server that has none.
+   *
+   * @param requirements requirements of the request
+   * @return share from 0 to 1; 0 if no server has a known limit
+   */
+  public double occupancy(Requirements requirements) {
+    Instant now = clock.instant();
+    long runs = 0;
+    long slots = 0;
+    for (ServerInstance server : servers.usable(requirements.service().name())) {
+      int limit = capacity(requirements, server);
+      if (limit > 0
+          && isAllowed(requirements, server)
+          && !health.isSuspended(server.id(), now)
+          && !servers.isWarmingUp(server.id(), now)) {
+        runs += Math.min(limit, loads.total(server.id()).runs());
+        slots += limit;
+      }
+    }
+    return slots == 0 ? 0 : (double) runs / slots;
+  }
+
   /**
    * Chooses the server with the lowest cost that has free capacity.
    *
@@ -351,6 +388,11 @@
     return slots > 0 ? slots : Integer.MAX_VALUE;
   }
 
+  private static int capacity(Requirements requirements, ServerInstance server) {
+    int slots = slots(requirements, server);
+    return slots < Integer.MAX_VALUE ? slots : requirements.service().connectionLimit();
+  }
+
   private static OptionalInt memory(GatewayService service) {
     return service
         .engine()
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package org.cactusseam.edge.gateway;
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
+import static org.cactusseam.model.gateway.HedgingSettings.DEFAULT_EXTRA_SHARE;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.cactusseam.edge.backend.BackendConnections;
 import org.cactusseam.edge.logging.StructuredLog;
@@ -29,6 +31,7 @@
 import org.cactusseam.logic.gateway.ServerTable;
 import org.cactusseam.logic.gateway.SharedRetryBudget;
 import org.cactusseam.logic.gateway.SharerCount;
+import org.cactusseam.logic.hedging.HedgingPolicy;
 import org.cactusseam.model.gateway.GatewayRoute;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.gateway.ServerPace;
@@ -62,6 +65,7 @@
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
   private final Set<Exchange> active = new LinkedHashSet<>();
+  private final RequestHedging hedging;
   private final Instant startedAt;
   private final ProcessPauses pauses;
   private final SharerCount sharerCount;
@@ -110,6 +114,15 @@
             leavingServers,
             reports,
             settings.coldTolerance());
+    this.hedging =
+        new RequestHedging(
+            this,
+            new HedgingPolicy(
+                settings.retryWindow(),
+                settings.features().hedging().extraShare().orElse(DEFAULT_EXTRA_SHARE),
+                startedAt,
+                servers,
+                serverSelector));
     setVmCount(1);
   }
 
@@ -292,6 +305,25 @@
     return retryBudget(service).tryReserve(vmCount, clock.instant());
   }
 
+  RequestHedging hedging() {
+    return hedging;
+  }
+
+  /**
+   * Returns whether slow requests of a service may be sent to a second server: if the settings
+   * permit extra requests or, without a setting, if its servers state their pace.
+   */
+  boolean isHedged(String service) {
+    OptionalDouble share = settings.features().hedging().extraShare();
+    return share.isPresent()
+        ? share.getAsDouble() > 0
+        : routes.service(service).filter(serverSelector::isPaced).isPresent();
+  }
+
+  int vmCount() {
+    return vmCount;
+  }
+
   RequestQueue<Exchange> queue(String service) {
     return queues.computeIfAbsent(service, name -> new RequestQueue<>());
   }
