--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestHedging.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestHedging.java
@@ -4,7 +4,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.EnumMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import org.cactusseam.logic.hedging.HedgeDecision;
 import org.cactusseam.logic.hedging.HedgingPolicy;
@@ -18,8 +20,15 @@
   /** A second attempt runs on a second server while the first one runs. */
   private static final int MIN_RUNS = 2;
 
+  /**
+   * Shortest time between two log lines of a reason: in an overload, every slow request is denied.
+   */
+  private static final Duration DENIAL_LOG_INTERVAL = Duration.ofSeconds(1);
+
   private final Gateway gateway;
   private final HedgingPolicy policy;
+  private final Map<HedgeDecision.Reason, Instant> denialsLoggedAt =
+      new EnumMap<>(HedgeDecision.Reason.class);
 
   RequestHedging(Gateway gateway, HedgingPolicy policy) {
     this.gateway = gateway;
@@ -90,11 +99,13 @@
         count(service, "sent");
       }
       case HedgeDecision.Denied no -> {
-        request.log.info(
-            "hedge_denied",
-            field("after", server.id()),
-            field("age_ms", age.toMillis()),
-            field("reason", no.reason().label()));
+        if (isDenialLogged(no.reason(), now)) {
+          request.log.info(
+              "hedge_denied",
+              field("after", server.id()),
+              field("age_ms", age.toMillis()),
+              field("reason", no.reason().label()));
+        }
         gateway
             .metrics()
             .increment(
@@ -109,6 +120,15 @@
     return decision;
   }
 
+  private boolean isDenialLogged(HedgeDecision.Reason reason, Instant now) {
+    Instant last = denialsLoggedAt.get(reason);
+    if (last != null && now.isBefore(last.plus(DENIAL_LOG_INTERVAL))) {
+      return false;
+    }
+    denialsLoggedAt.put(reason, now);
+    return true;
+  }
+
   /** Counts a request that was answered while two attempts ran. */
   void recordWinner(Exchange request, boolean isSecond) {
     count(request.service.name(), isSecond ? "won" : "lost");
