--- a/cactusseam-core/src/main/java/org/cactusseam/logic/configuration/ConfigurationCheck.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/configuration/ConfigurationCheck.java
@@ -60,7 +60,8 @@
       if (!matches.add(route.host().toLowerCase(Locale.ROOT) + " " + route.pathPrefix())) {
         add(Kind.NEVER_MATCHES, entry, "an earlier route has the same host and path prefix");
       }
-      if (!route.pathPrefix().startsWith("/")) {
+      // An empty prefix matches every path.
+      if (!route.pathPrefix().isEmpty() && !route.pathPrefix().startsWith("/")) {
         add(Kind.NEVER_MATCHES, entry, "the path prefix does not begin with a slash");
       }
       if (!route.open() && configuration.accounts().filter(List::isEmpty).isPresent()) {
@@ -72,7 +73,7 @@
   }
 
   private void checkServicesOf(GatewayRoute route, String entry) {
-    int totalWeight = 0;
+    long totalWeight = 0;
     for (WeightedService each : route.services()) {
       if (!configuration.services().containsKey(each.service())) {
         add(Kind.ERROR, entry, "the service " + each.service() + " is not configured");
