Decide roll-outs of a service's version in the core

An operator can order a service's traffic to be moved to servers of another version. The decisions that need no network are the exposure limit of each VM, the sequential test of the two versions, the stages with their times, the ranking of coordinators, and the versions that a request may use. Server entries state a version, and the server selection accepts a set of versions; by default it allows all.

RolloutTableTest, RolloutPlanTest and ServerSelectorTest pass. Nothing uses the decisions yet.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LeavingServers.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LeavingServers.java
@@ -35,7 +35,11 @@
     /** The entry has disappeared; some servers leave without announcing it. */
     ENTRY_GONE,
     /** A report of the server says so, received by this VM or forwarded by another one. */
-    REPORTED
+    REPORTED,
+    /**
+     * A roll-out moves its runs to another version, while its entry still says that it is ready.
+     */
+    REPLACED
   }
 
   private record Mark(ServerInstance server, Source source, Instant at) {}
@@ -58,16 +62,26 @@
 
   /**
    * Removes the mark of a server whose entry says that it accepts requests. A mark from a report is
-   * kept while the entry may be older than the report.
+   * kept while the entry may be older than the report, and that of a roll-out until {@link
+   * #clearReplaced}.
    */
   public void clearIfOlder(String serverId, Instant now) {
     Mark mark = marks.get(serverId);
     if (mark != null
+        && mark.source() != Source.REPLACED
         && (mark.source() != Source.REPORTED || mark.at().plus(MAX_ENTRY_LAG).isBefore(now))) {
       marks.remove(serverId);
     }
   }
 
+  /** Removes the marks of a service's servers that a roll-out no longer replaces. */
+  public void clearReplaced(String service) {
+    marks
+        .values()
+        .removeIf(
+            mark -> mark.source() == Source.REPLACED && mark.server().service().equals(service));
+  }
+
   /** Removes the mark of a server because a new process has its identifier. */
   public void clear(String serverId) {
     marks.remove(serverId);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -72,10 +74,22 @@
    * @return number of connected peers and of those that became unreachable less than 60 s ago
    */
   public int sharingCount(Instant now) {
-    long recentlyUnreachable =
-        unreachableSince.values().stream()
-            .filter(at -> at.plus(SHARE_RETENTION).isAfter(now))
-            .count();
-    return connected.size() + (int) recentlyUnreachable;
+    return sharing(now).size();
+  }
+
+  /**
+   * Returns the names of the peers that have a share of the common limits.
+   *
+   * @return connected peers and those that became unreachable less than 60 s ago
+   */
+  public List<String> sharing(Instant now) {
+    List<String> sharing = new ArrayList<>(connected);
+    unreachableSince.forEach(
+        (node, at) -> {
+          if (at.plus(SHARE_RETENTION).isAfter(now)) {
+            sharing.add(node);
+          }
+        });
+    return sharing;
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -11,6 +12,7 @@
 import org.cactusseam.model.gateway.EngineCapabilities;
 import org.cactusseam.model.gateway.GatewayService;
 import org.cactusseam.model.gateway.ServerInstance;
+import org.cactusseam.model.gateway.VersionFilter;
 
 /**
  * Chooses the backend server of a request by estimated cost. Handles three load patterns: bursts of
@@ -134,15 +136,40 @@
    * @param excluded identifiers of servers that must not be chosen
    * @param spread seed that differs between requests, so that simultaneous choices are spread over
    *     servers
+   * @param versions versions of servers that may be chosen
    */
   public record Requirements(
-      GatewayService service, Set<String> regions, int tokens, Set<String> excluded, int spread) {
+      GatewayService service,
+      Set<String> regions,
+      int tokens,
+      Set<String> excluded,
+      int spread,
+      VersionFilter versions) {
 
     /** Copies the collections. */
     public Requirements {
       regions = Set.copyOf(regions);
       excluded = Set.copyOf(excluded);
     }
+
+    /** Creates requirements that allow every version. */
+    public Requirements(
+        GatewayService service, Set<String> regions, int tokens, Set<String> excluded, int spread) {
+      this(service, regions, tokens, excluded, spread, VersionFilter.ANY);
+    }
+
+    /**
+     * Returns these requirements with other servers.
+     *
+     * @param allowed versions that may be chosen
+     * @param furtherExcluded identifiers of further servers that must not be chosen
+     * @return changed copy
+     */
+    public Requirements withServers(VersionFilter allowed, Set<String> furtherExcluded) {
+      Set<String> allExcluded = new HashSet<>(excluded);
+      allExcluded.addAll(furtherExcluded);
+      return new Requirements(service, regions, tokens, allExcluded, spread, allowed);
+    }
   }
 
   /**
@@ -253,6 +280,7 @@
   private boolean isAllowed(Requirements requirements, ServerInstance server) {
     return !requirements.excluded().contains(server.id())
         && !leavingServers.isLeaving(server.id())
+        && requirements.versions().accepts(server)
         && (requirements.regions().isEmpty()
             || vmLocation
                 .regionOf(server.failureDomain())
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerInstance.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerInstance.java
@@ -16,6 +16,7 @@
  * @param leaving whether it announces that it is leaving and wants no further requests
  * @param coldFor remaining time for which it is cold and can handle few requests; zero if it is
  *     warm
+ * @param version version of its software; empty if it does not state it
  */
 public record ServerInstance(
     String id,
@@ -26,7 +27,8 @@
     String failureDomain,
     int slots,
     boolean leaving,
-    Duration coldFor) {
+    Duration coldFor,
+    String version) {
 
   /**
    * Returns the network address.
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
@@ -31,7 +31,7 @@
 
   static ServerInstance server(String id, String service, String failureDomain) {
     return new ServerInstance(
-        id, 1, service, "127.0.0.1", 8_000, failureDomain, 24, false, Duration.ZERO);
+        id, 1, service, "127.0.0.1", 8_000, failureDomain, 24, false, Duration.ZERO, "v1");
   }
 
   static EngineReport report(int memoryUsed) {
@@ -48,7 +48,8 @@
         server.failureDomain(),
         server.slots(),
         true,
-        server.coldFor());
+        server.coldFor(),
+        server.version());
   }
 
   static ServerInstance restarted(ServerInstance server) {
@@ -61,7 +62,8 @@
         server.failureDomain(),
         server.slots(),
         false,
-        server.coldFor());
+        server.coldFor(),
+        server.version());
   }
 
   static GatewayRoute route(String name, String prefix, boolean open) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/ServerTableTest.java
@@ -133,7 +133,8 @@
             server.failureDomain(),
             server.slots(),
             false,
-            Duration.ofSeconds(3)),
+            Duration.ofSeconds(3),
+            server.version()),
         START);
 
     assertThat(table.isWarmingUp("s-1", START.plusMillis(2_999)), is(true));
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -0,0 +1,177 @@
+package org.cactusseam.logic.rollout;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.cactusseam.model.gateway.RolloutOrder;
+import org.cactusseam.model.gateway.RolloutSettings;
+import org.cactusseam.model.gateway.ServerInstance;
+import org.cactusseam.model.gateway.VersionFilter;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that are sent to a version that is not proven. */
+class RolloutTableTest {
+
+  private static final Instant START = Instant.ofEpochSecond(1_000_000);
+  private static final Duration HOLD = Duration.ofSeconds(4);
+  private static final VersionFilter V1 = VersionFilter.only(Set.of("v1"));
+  private static final VersionFilter V2 = VersionFilter.only(Set.of("v2"));
+
+  private final RolloutTable table =
+      new RolloutTable(new RolloutSettings(0.1, 50, Duration.ofSeconds(5)), HOLD, "vm-1");
+
+  private static ServerInstance server(String id, long startedAt, String version) {
+    return new ServerInstance(
+        id, startedAt, "plain", "127.0.0.1", 8_000, "a", 24, false, Duration.ZERO, version);
+  }
+
+  private void list(Duration at, String... versions) {
+    List<ServerInstance> servers =
+        java.util.stream.IntStream.range(0, versions.length)
+            .mapToObj(index -> server("s-" + index, index, versions[index]))
+            .toList();
+    table.update("plain", servers, START.plus(at));
+  }
+
+  private static RolloutOrder order(String version, long id) {
+    return new RolloutOrder("plain", version, Duration.ofSeconds(12), id);
+  }
+
+  private List<VersionFilter> versions() {
+    // Of few requests none is tried out.
+    table
+        .find("plain")
+        .ifPresent(
+            rollout -> {
+              for (int request = 0; request < 9; request++) {
+                rollout.exposure().recordRequest();
+              }
+            });
+
+    return table.choices("plain", true, 1, START).stream()
+        .map(RolloutTable.Choice::versions)
+        .toList();
+  }
+
+  private RolloutState startOrder(String version, long id, Duration at) {
+    table.onOrder(order(version, id), START.plus(at));
+    RolloutState state =
+        table.initialState(table.find("plain").orElseThrow(), START.plus(at)).orElseThrow();
+    table.onState(state);
+    return state;
+  }
+
+  private void enter(RolloutState state, RolloutStage stage) {
+    table.onState(state.in(stage, "test"));
+  }
+
+  @Test
+  void a_version_without_an_order_is_held_back_for_a_time() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    assertThat(versions(), contains(V1));
+
+    list(HOLD.multipliedBy(2), "v1", "v2");
+    assertThat(versions(), contains(VersionFilter.only(Set.of("v1", "v2"))));
+  }
+
+  @Test
+  void after_a_start_the_version_of_the_oldest_server_has_the_traffic() {
+    table.update("plain", List.of(server("s-2", 9, "v2")), START);
+    table.update("plain", List.of(server("s-2", 9, "v2"), server("s-1", 1, "v1")), START);
+    assertThat(versions(), contains(V1));
+  }
+
+  @Test
+  void an_order_without_a_stage_changes_nothing() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    table.onOrder(order("v2", 7), START.plus(HOLD));
+    list(HOLD.multipliedBy(3), "v1", "v2");
+    assertThat(versions(), contains(V1));
+  }
+
+  @Test
+  void each_stage_allows_its_versions() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    RolloutState state = startOrder("v2", 7, HOLD);
+    assertThat(state.replaced(), is(Set.of("v1")));
+    assertThat(versions(), contains(V2, V1));
+    assertThat(table.choices("plain", false, 1, START).getFirst().versions(), is(V1));
+
+    enter(state, new RolloutStage.Shifting());
+    assertThat(versions(), contains(V2, V1));
+    enter(state, new RolloutStage.Draining());
+    assertThat(versions(), contains(V2));
+    enter(state, new RolloutStage.Completed());
+    assertThat(versions(), contains(V2));
+  }
+
+  @Test
+  void a_final_stage_is_not_replaced_by_one_that_is_read_late() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    RolloutState state = startOrder("v2", 7, HOLD);
+    enter(state, new RolloutStage.Reverted());
+    enter(state, new RolloutStage.Shifting());
+    enter(state, new RolloutStage.Completed());
+    assertThat(versions(), contains(V1));
+  }
+
+  @Test
+  void a_version_that_another_vm_found_bad_gets_nothing_before_the_stage_is_stored() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    RolloutState state = startOrder("v2", 7, HOLD);
+    table.hold("plain", 7);
+    assertThat(versions(), contains(V1));
+    enter(state, new RolloutStage.Draining());
+    assertThat(versions(), contains(V1));
+    assertThat(table.find("plain").orElseThrow().isDraining(), is(false));
+  }
+
+  @Test
+  void a_removed_order_leaves_its_version_barred() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    startOrder("v2", 7, HOLD);
+    table.onOrderRemoved("plain");
+    list(HOLD.multipliedBy(4), "v1", "v2");
+    assertThat(versions(), contains(V1));
+  }
+
+  @Test
+  void a_second_order_bars_the_version_of_the_first() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2", "v3");
+    startOrder("v2", 7, HOLD);
+    RolloutState second = startOrder("v3", 8, HOLD.multipliedBy(2));
+    assertThat(second.replaced(), is(Set.of("v1")));
+    assertThat(versions(), contains(VersionFilter.only(Set.of("v3")), V1));
+  }
+
+  @Test
+  void an_order_back_to_the_old_version_needs_no_evidence() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    startOrder("v2", 7, HOLD);
+    RolloutState back = startOrder("v1", 8, HOLD.plusSeconds(1));
+    assertThat(back.isRestoring(), is(true));
+    assertThat(versions().getLast(), is(V1));
+  }
+
+  @Test
+  void a_vm_that_starts_during_an_order_uses_the_stored_versions() {
+    table.onState(
+        new RolloutState("plain", 7, "v2", Set.of("v1"), 0, new RolloutStage.Shifting(), "test"));
+    table.onOrder(order("v2", 7), START);
+    table.update("plain", List.of(server("s-2", 1, "v2"), server("s-1", 9, "v1")), START);
+    assertThat(versions().getLast(), is(V1));
+  }
+}
--- /dev/null
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
@@ -0,0 +1,114 @@
+package org.cactusseam.logic.rollout;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.Arrays;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against a test of versions that lets bad ones through, needs too many bad responses, or
+ * attributes other faults to the version. Prints the table of docs/CAPACITY.md.
+ */
+class RolloutVersionTest {
+
+  private static final int ROLLOUTS = 1_000;
+
+  /** Bad responses after which the time to revert a version starts. */
+  private static final int TOLERATED_BAD_RESPONSES = 50;
+
+  @ParameterizedTest(name = "{0}, {1} requests a second")
+  @CsvSource({
+    "all responses fail,             20,  1.0, 0.0, 1, 0, false",
+    "all responses fail,            100,  1.0, 0.0, 1, 0, false",
+    "30 percent fail,                20,  0.3, 0.0, 1, 0, false",
+    "30 percent fail,               100,  0.3, 0.0, 1, 0, false",
+    "30 percent fail,               230,  0.3, 0.0, 1, 0, false",
+    "15 percent fail,               100, 0.15, 0.0, 1, 0, false",
+    "30 percent fail from second 4, 100,  0.3, 0.0, 1, 4, false",
+    "60 percent fail on one route,  100,  0.6, 0.0, 1, 0, true",
+    "all are 4 times slower,         20,  0.0, 1.0, 4, 0, false",
+    "all are 4 times slower,        100,  0.0, 1.0, 4, 0, false",
+    "all are 3 times slower,        100,  0.0, 1.0, 3, 0, false",
+    "half are 4 times slower,       100,  0.0, 0.5, 4, 0, false",
+    "all are 4 times slower on one route, 100, 0.0, 1.0, 4, 0, true"
+  })
+  void a_bad_version_is_not_found_good(
+      String name,
+      int perSecond,
+      double failures,
+      double slow,
+      double factor,
+      int from,
+      boolean one) {
+    VersionSimulation.Fault fault =
+        new VersionSimulation.Fault(failures, slow, factor, from, one, false, false);
+    Tally tally = new Tally(name, fault, perSecond);
+
+    // Below one in 50, a bad version is less likely to pass than a server is to fail in a day.
+    assertThat(tally.good, is(lessThanOrEqualTo(ROLLOUTS / 50)));
+    assertThat(tally.badResponses(0.99), is(lessThanOrEqualTo(TOLERATED_BAD_RESPONSES)));
+  }
+
+  @ParameterizedTest(name = "{0}, {1} requests a second")
+  @CsvSource({
+    "no fault,              20, 0.0, 0.0, 1, false, false",
+    "no fault,             100, 0.0, 0.0, 1, false, false",
+    "no fault,             230, 0.0, 0.0, 1, false, false",
+    "one server fails,     100, 0.5, 0.0, 1, true,  false",
+    "a domain fails,       100, 0.5, 0.0, 1, false, true",
+    "a domain is slow,     100, 0.0, 1.0, 4, false, true"
+  })
+  void a_good_version_is_not_found_bad(
+      String name,
+      int perSecond,
+      double failures,
+      double slow,
+      double factor,
+      boolean server,
+      boolean both) {
+    VersionSimulation.Fault fault =
+        new VersionSimulation.Fault(failures, slow, factor, 0, false, server, both);
+    Tally tally = new Tally(name, fault, perSecond);
+
+    assertThat(tally.bad, is(lessThanOrEqualTo(ROLLOUTS / 50)));
+    if (fault.failures() == 0 && fault.slow() == 0) {
+      assertThat(tally.good, is(greaterThanOrEqualTo(ROLLOUTS * 9 / 10)));
+    }
+  }
+
+  /** Results of many roll-outs with different seeds. */
+  private static final class Tally {
+    private int good;
+    private int bad;
+    private final int[] badResponses = new int[ROLLOUTS];
+
+    Tally(String name, VersionSimulation.Fault fault, int perSecond) {
+      long sent = 0;
+      for (int seed = 0; seed < ROLLOUTS; seed++) {
+        VersionSimulation.Result result = new VersionSimulation(seed, fault, perSecond).run();
+        good += result.kind() == VersionTest.Kind.GOOD ? 1 : 0;
+        bad += result.kind() == VersionTest.Kind.BAD ? 1 : 0;
+        badResponses[seed] = result.badResponses();
+        sent += result.sent();
+      }
+      Arrays.sort(badResponses);
+      System.out.printf(
+          "| %s | %d | %.1f | %.1f | %.1f | %d | %d |%n",
+          name,
+          perSecond,
+          100.0 * good / ROLLOUTS,
+          100.0 * bad / ROLLOUTS,
+          (double) sent / ROLLOUTS,
+          badResponses(0.5),
+          badResponses(0.99));
+    }
+
+    int badResponses(double quantile) {
+      return badResponses[(int) (quantile * (ROLLOUTS - 1))];
+    }
+  }
+}
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CrashCheckTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CrashCheckTest.java
@@ -32,7 +32,16 @@
 
   private static ServerInstance at(ServerSocket socket) {
     return new ServerInstance(
-        "s-1", 1, "engines", "127.0.0.1", socket.getLocalPort(), "a", 1, false, Duration.ZERO);
+        "s-1",
+        1,
+        "engines",
+        "127.0.0.1",
+        socket.getLocalPort(),
+        "a",
+        1,
+        false,
+        Duration.ZERO,
+        "v1");
   }
 
   @Test
