Roll out versions of a service from the gateway

The gateway reads orders from the operator's topic and stages from its own topic, sends requests to the versions that the stage allows, and reports their outcomes to the three candidates for coordinating the order. While an order drains, old servers count as leaving and streams are moved within the retry budget. Without the contract, orders are ignored and every version is allowed. The fingerprints of requests move out of Exchange into a class of their own.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -138,6 +138,7 @@
     private long attemptTimer = -1;
     private boolean released;
     private boolean headReceived;
+    private final Instant startedAt = gateway.clock().instant();
 
     Attempt(ServerInstance server) {
       this.server = server;
@@ -216,11 +217,13 @@
       recordAnswered();
       if (complete.reply().status() >= 500) {
         gateway.health().recordFailure(server.id());
+        recordOutcome(Rollouts.Outcome.FAILURE);
         failure = complete;
         retryOrFail(server, "status " + complete.reply().status());
         return;
       }
       gateway.health().recordSuccess(server.id());
+      recordOutcome(Rollouts.Outcome.SUCCESS);
       deliver(complete);
     }
 
@@ -230,6 +233,7 @@
       }
       release();
       gateway.health().recordUnreachable(server.id(), gateway.clock().instant());
+      recordOutcome(Rollouts.Outcome.FAILURE);
       log.info("unreachable", field("server", server.id()), field("reason", reason));
       retryOrFail(server, "cannot connect");
     }
@@ -241,6 +245,7 @@
       release();
       abortConnection();
       gateway.health().recordFailure(server.id());
+      recordOutcome(Rollouts.Outcome.FAILURE);
       log.info("broken", field("server", server.id()), field("reason", reason));
       recordUnanswered(server, headReceived)
           .onComplete(checked -> retryOrFail(server, "the server broke off"));
@@ -253,12 +258,18 @@
       release();
       abortConnection();
       gateway.health().recordFailure(server.id());
+      recordOutcome(Rollouts.Outcome.FAILURE);
       log.info("broken", field("server", server.id()), field("reason", "silent"));
       retryOrFail(server, "the server is silent");
     }
 
+    private void recordOutcome(Rollouts.Outcome outcome) {
+      gateway.rollouts().recordOutcome(route, server, outcome, startedAt);
+    }
+
     void abort() {
       if (!released) {
+        recordOutcome(Rollouts.Outcome.ABORTED);
         release();
         abortConnection();
       }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -2,7 +2,6 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
-import com.google.common.hash.Hashing;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -16,7 +15,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.DrainPolicy;
 import org.cactusseam.logic.gateway.RequestQueue;
@@ -85,7 +83,7 @@
   final Set<String> excluded = new HashSet<>();
   final StructuredLog log;
   int runs;
-  private Set<String> fingerprints = Set.of();
+  private final RequestFingerprints fingerprints;
   private int sends;
   private boolean hasReservedRetry;
   private boolean finished;
@@ -115,12 +113,14 @@
         receivedAt.plus(
             callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout());
     this.log = LOG.forRequest(head.attemptId());
+    this.fingerprints = new RequestFingerprints(incoming, body, head, account);
   }
 
   /** Starts the deadline timer and sends the request, or queues it if no server has capacity. */
   final void start() {
     gateway.add(this);
     gateway.retryBudget(service.name()).request(gateway.clock().instant());
+    gateway.rollouts().recordRequest(service.name());
     incoming.response().closeHandler(closed -> onCallerDisconnected());
     incoming.response().exceptionHandler(cause -> onCallerDisconnected());
     deadlineTimer =
@@ -206,7 +206,7 @@
     if (finished) {
       return true;
     }
-    Optional<ServerInstance> server = gateway.serverSelector().choose(requirements());
+    Optional<ServerInstance> server = gateway.rollouts().choose(requirements(), sends == 0);
     if (server.isEmpty()) {
       return false;
     }
@@ -230,7 +230,12 @@
 
   final ServerSelector.Requirements requirements() {
     return new ServerSelector.Requirements(
-        service, allowedRegions(), expectedTokens(), excluded, head.attemptId().hashCode());
+        service,
+        allowedRegions(),
+        expectedTokens(),
+        excluded,
+        head.attemptId().hashCode(),
+        gateway.rollouts().usualVersions(service.name()));
   }
 
   private Set<String> allowedRegions() {
@@ -334,6 +339,7 @@
       gateway.retryBudget(service.name()).recordSent(gateway.clock().instant());
     }
     gateway.serverSelector().recordSent(server);
+    gateway.rollouts().recordSent(server);
     log.info(
         "sent",
         field("route", route.name()),
@@ -419,7 +425,7 @@
   final Future<CrashCheck.Result> recordUnanswered(ServerInstance server, boolean headReceived) {
     return gateway
         .quarantine()
-        .recordUnanswered(server, fingerprints(), headReceived)
+        .recordUnanswered(server, fingerprints.all(), headReceived)
         .onSuccess(
             result -> {
               gateway
@@ -443,35 +449,12 @@
   /** Records that a server has answered the request, or has begun to stream its answer. */
   final void recordAnswered() {
     if (gateway.quarantine().isActive()) {
-      gateway.quarantine().recordAnswer(fingerprints());
+      gateway.quarantine().recordAnswer(fingerprints.all());
     } else {
-      gateway.quarantine().recordAnswer(partFingerprints());
+      gateway.quarantine().recordAnswer(fingerprints.ofParts());
     }
   }
 
-  private Set<String> partFingerprints() {
-    return head.sharedPromptParts().stream()
-        .map(part -> "part:" + part)
-        .collect(Collectors.toUnmodifiableSet());
-  }
-
-  /** Returns the fingerprints of the request as a whole and of the prompt parts that it shares. */
-  private Set<String> fingerprints() {
-    if (fingerprints.isEmpty()) {
-      Set<String> all = new HashSet<>(partFingerprints());
-      all.add(
-          "request:"
-              + Hashing.murmur3_128()
-                  .newHasher()
-                  .putUnencodedChars(account.map(GatewayAccount::name).orElse(""))
-                  .putUnencodedChars("\n" + incoming.method() + " " + incoming.uri() + "\n")
-                  .putBytes(body.getBytes())
-                  .hash());
-      fingerprints = Set.copyOf(all);
-    }
-    return fingerprints;
-  }
-
   /** Ends the request if it is known to crash servers and no server has begun to answer it. */
   final void endIfQuarantined() {
     if (isQuarantined()) {
@@ -485,7 +468,7 @@
     return !finished
         && !hasBegun()
         && gateway.quarantine().isActive()
-        && gateway.quarantine().isQuarantined(fingerprints());
+        && gateway.quarantine().isQuarantined(fingerprints.all());
   }
 
   /** Refuses the request with status 503: it has not run and will not run. */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -50,6 +50,7 @@
   private final LeavingServers leavingServers = new LeavingServers();
   private final EngineReports reports = new EngineReports();
   private final ServerSelector serverSelector;
+  private final Rollouts rollouts;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
@@ -98,6 +99,7 @@
             leavingServers,
             reports,
             settings.coldTolerance());
+    this.rollouts = new Rollouts(this);
     setVmCount(1);
   }
 
@@ -183,6 +185,10 @@
     return serverSelector;
   }
 
+  Rollouts rollouts() {
+    return rollouts;
+  }
+
   GatewayMetrics metrics() {
     return metrics;
   }
@@ -258,6 +264,11 @@
     quarantine.setGatewayCount(vmCount);
   }
 
+  /** Returns the number of gateways over which limits are divided, this one included. */
+  int vmCount() {
+    return vmCount;
+  }
+
   boolean isDraining() {
     return drainingSince.isPresent();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import org.cactusseam.logic.gateway.ServerLoads;
+import org.cactusseam.logic.rollout.RolloutReport;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.cactusseam.model.quarantine.Suspicions;
 
@@ -74,6 +75,23 @@
    */
   record QuarantineUpdate(String node, Suspicions suspicions) implements GatewayMessage {}
 
+  /**
+   * Responses of two versions of a service, as the sender has received them. Only sent in
+   * deployments with roll-outs.
+   *
+   * @param report report of the sender
+   */
+  record RolloutEvidence(RolloutReport report) implements GatewayMessage {}
+
+  /**
+   * A new version is bad and must not receive requests. The stage in the store follows.
+   *
+   * @param service name of the service
+   * @param orderId identifier of the order
+   * @param reason evidence, for the log
+   */
+  record RolloutHold(String service, long orderId, String reason) implements GatewayMessage {}
+
   /** Reply to {@link Loads}, which shows that the connection is alive. */
   record LoadsAck() implements GatewayMessage {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -30,6 +30,8 @@
   private static final int RECORD_OFFER = 7;
   private static final int RECORD_FETCH = 8;
   private static final int QUARANTINE_UPDATE = 9;
+  private static final int ROLLOUT_EVIDENCE = 10;
+  private static final int ROLLOUT_HOLD = 11;
 
   private GatewayMessageCodec() {}
 
@@ -59,6 +61,14 @@
         case GatewayMessage.QuarantineUpdate update ->
             SuspicionsCodec.write(
                 packer.packInt(QUARANTINE_UPDATE).packString(update.node()), update.suspicions());
+        case GatewayMessage.RolloutEvidence evidence ->
+            RolloutReportCodec.write(packer.packInt(ROLLOUT_EVIDENCE), evidence.report());
+        case GatewayMessage.RolloutHold hold ->
+            packer
+                .packInt(ROLLOUT_HOLD)
+                .packString(hold.service())
+                .packLong(hold.orderId())
+                .packString(hold.reason());
         case GatewayMessage.ServerDeparture departure ->
             packer
                 .packInt(SERVER_DEPARTURE)
@@ -130,6 +140,11 @@
               unpacker.unpackString(), SuspicionsCodec.read(unpacker));
       case SERVER_DEPARTURE ->
           new GatewayMessage.ServerDeparture(unpacker.unpackString(), unpacker.unpackLong());
+      case ROLLOUT_EVIDENCE ->
+          new GatewayMessage.RolloutEvidence(RolloutReportCodec.read(unpacker));
+      case ROLLOUT_HOLD ->
+          new GatewayMessage.RolloutHold(
+              unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString());
       default -> throw new IOException("unknown gateway message type " + type);
     };
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -16,12 +16,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.FrameReader;
 import org.cactusseam.logic.gateway.LeavingServers;
 import org.cactusseam.logic.gateway.LoadBroadcastPolicy;
 import org.cactusseam.logic.gateway.PeerReachability;
 import org.cactusseam.logic.gateway.ServerLoads;
+import org.cactusseam.logic.rollout.RolloutReport;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.quarantine.Suspicions;
 
@@ -56,6 +58,7 @@
   private final LoadBroadcastPolicy broadcastPolicy = new LoadBroadcastPolicy();
   private final PeerReachability reachability = new PeerReachability();
   private final RecordReplicator replicator;
+  private Consumer<RolloutReport> reportReceiver = report -> {};
 
   GatewayPeers(Gateway gateway, RecordCache recordCache) {
     this.gateway = gateway;
@@ -168,6 +171,12 @@
     broadcast(new GatewayMessage.ServerDeparture(server.id(), server.startedAtMillis()));
   }
 
+  /** Returns the other gateways, as roll-outs need them. */
+  RolloutPeers rolloutPeers(Consumer<RolloutReport> receiver) {
+    reportReceiver = receiver;
+    return new ConnectedPeers();
+  }
+
   private void broadcast(GatewayMessage message) {
     Buffer frame = GatewayMessageCodec.encode(message);
     links.values().forEach(link -> link.send(frame));
@@ -227,6 +236,9 @@
         case GatewayMessage.ServerDeparture departure -> onDeparture(departure);
         case GatewayMessage.QuarantineUpdate update ->
             gateway.quarantine().merge(update.node(), update.suspicions());
+        case GatewayMessage.RolloutEvidence evidence -> reportReceiver.accept(evidence.report());
+        case GatewayMessage.RolloutHold hold ->
+            gateway.rollouts().hold(hold.service(), hold.orderId(), hold.reason());
         case GatewayMessage.LoadsAck ack -> {
           // Arrives only on outbound connections, where the link counts it as a sign of life.
         }
@@ -251,7 +263,12 @@
   }
 
   /** The gateways to which this one has an open connection. */
-  private final class ConnectedPeers implements RecordReplicator.Peers {
+  private final class ConnectedPeers implements RecordReplicator.Peers, RolloutPeers {
+
+    @Override
+    public List<String> members() {
+      return reachability.sharing(gateway.clock().instant());
+    }
 
     @Override
     public List<String> connected() {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -9,7 +9,10 @@
 import org.cactusseam.edge.IsolatedAction;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.LeavingServers;
+import org.cactusseam.logic.rollout.RolloutReport;
+import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.model.gateway.GatewayConfiguration;
+import org.cactusseam.model.gateway.RolloutOrder;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.quarantine.Conviction;
 
@@ -47,6 +50,7 @@
   private final ConvictionStore convictionStore;
   private final GatewayPeers peers;
   private final ReportPoller reportPoller;
+  private final RolloutCoordinator rolloutCoordinator;
   private final Runnable exit;
   private Instant idleCheckedAt = Instant.EPOCH;
   private boolean closing;
@@ -57,16 +61,27 @@
    * @param gateway state of the gateway
    * @param recordCache store records that gateways replicate
    * @param convictionStore keeps convictions in the store
+   * @param rolloutStore keeps the stages of roll-outs in the store
    * @param exit ends the process
    */
   public GatewayProcess(
-      Gateway gateway, RecordCache recordCache, ConvictionStore convictionStore, Runnable exit) {
+      Gateway gateway,
+      RecordCache recordCache,
+      ConvictionStore convictionStore,
+      RolloutStore rolloutStore,
+      Runnable exit) {
     this.gateway = gateway;
     this.server = new GatewayServer(gateway);
     this.recordCache = recordCache;
     this.convictionStore = convictionStore;
     this.peers = new GatewayPeers(gateway, recordCache);
     this.reportPoller = new ReportPoller(gateway, peers::broadcastDeparture);
+    this.rolloutCoordinator =
+        new RolloutCoordinator(
+            gateway,
+            peers.rolloutPeers(this::onRolloutReport),
+            rolloutStore,
+            gateway.clock().instant());
     this.exit = exit;
   }
 
@@ -90,6 +105,7 @@
     runStep("selection", gateway.serverSelector()::tick);
     runStep("peers", () -> peers.tick(now));
     runStep("quarantine", () -> gateway.quarantine().tick(convictionStore, now));
+    runStep("rollouts", () -> rolloutCoordinator.tick(now));
     runStep("connections", () -> checkIdleConnections(now));
     runStep("reports", () -> reportPoller.tick(recordCache.isStoreUnavailable(), now));
     gateway.active().forEach(exchange -> runStep("request", () -> exchange.tick(now)));
@@ -187,6 +203,7 @@
           field("service", instance.service()),
           field("domain", instance.failureDomain()));
     }
+    gateway.rollouts().onServerListed(instance);
     if (instance.leaving()) {
       gateway.recordDeparture(instance, LeavingServers.Source.ANNOUNCED);
     } else {
@@ -214,6 +231,25 @@
     gateway.quarantine().mergeStored(conviction);
   }
 
+  private void onRolloutReport(RolloutReport report) {
+    rolloutCoordinator.onReport(report);
+  }
+
+  @Override
+  public void onRolloutOrder(RolloutOrder order) {
+    gateway.rollouts().onOrder(order);
+  }
+
+  @Override
+  public void onRolloutOrderRemoved(String service) {
+    gateway.rollouts().onOrderRemoved(service);
+  }
+
+  @Override
+  public void onRolloutState(RolloutState state) {
+    gateway.rollouts().onState(state);
+  }
+
   @Override
   public void onGatewayListed(String node, String host, int port, String failureDomain) {
     peers.connect(node, host, port, failureDomain);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
@@ -63,7 +63,8 @@
                     requirements.regions(),
                     currentTokens(),
                     allExcluded,
-                    requirements.spread()),
+                    requirements.spread(),
+                    gateway.rollouts().usualVersions(source.service())),
                 source);
     if (target.isEmpty()) {
       logMissingTarget(gateway.clock().instant());
@@ -164,6 +165,14 @@
     return schedule.copy().filter(copy -> isUsable(copy.holder())).isPresent();
   }
 
+  /** Returns whether there is a copy on a server that no roll-out replaces. */
+  boolean hasCopyOnLastingServer() {
+    return schedule
+        .copy()
+        .filter(copy -> isUsable(copy.holder()) && !isLeaving(copy.holder()))
+        .isPresent();
+  }
+
   /** Returns the complete copy of the run, empty without one. */
   Optional<Copy> copy() {
     return schedule
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -0,0 +1,267 @@
+package org.cactusseam.edge.gateway;
+
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.logic.rollout.CoordinatorRank;
+import org.cactusseam.logic.rollout.RolloutPlan;
+import org.cactusseam.logic.rollout.RolloutReport;
+import org.cactusseam.logic.rollout.RolloutReports;
+import org.cactusseam.logic.rollout.RolloutStage;
+import org.cactusseam.logic.rollout.RolloutState;
+import org.cactusseam.logic.rollout.RolloutTable;
+import org.cactusseam.logic.rollout.ServiceRollout;
+import org.cactusseam.logic.rollout.VersionTest;
+import org.cactusseam.model.gateway.ServerInstance;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reports the evidence of this gateway, and decides the stages of the orders for which it is one of
+ * the candidates.
+ */
+final class RolloutCoordinator {
+
+  private static final StructuredLog LOG = StructuredLog.of(RolloutCoordinator.class);
+
+  private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+
+  /** Pause after a write that failed, as long as a slow response of the store. */
+  private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
+
+  private final Gateway gateway;
+  private final Rollouts rollouts;
+  private final RolloutPeers peers;
+  private final RolloutStore store;
+  private final long startedAtMillis;
+  private final Map<String, Course> courses = new HashMap<>();
+
+  /** Progress of one order, as this gateway sees it. */
+  private static final class Course {
+    private final long orderId;
+    private final RolloutReports reports = new RolloutReports();
+    private final VersionTest test = new VersionTest();
+    private Instant reportedAt = Instant.MIN;
+    private boolean hasReportedDrained;
+    private @Nullable RolloutStage dueStage;
+    private Instant dueSince = Instant.MIN;
+    private boolean isWriting;
+    private Instant nextWriteAt = Instant.MIN;
+    private @Nullable RolloutState statusOf;
+    private Instant statusDueSince = Instant.MIN;
+    private boolean isStatusWritten;
+    private boolean isHoldSent;
+    private boolean hasWrittenStage;
+
+    Course(long orderId) {
+      this.orderId = orderId;
+    }
+  }
+
+  RolloutCoordinator(Gateway gateway, RolloutPeers peers, RolloutStore store, Instant startedAt) {
+    this.gateway = gateway;
+    this.rollouts = gateway.rollouts();
+    this.peers = peers;
+    this.store = store;
+    this.startedAtMillis = startedAt.toEpochMilli();
+  }
+
+  void tick(Instant now) {
+    rollouts.tick(now);
+    rollouts.table().ifPresent(table -> table.all().forEach(rollout -> tick(table, rollout, now)));
+  }
+
+  private void tick(RolloutTable table, ServiceRollout rollout, Instant now) {
+    Course course = course(rollout.order().service(), rollout.order().id());
+    if (course.orderId != rollout.order().id()) {
+      // Another gateway has already reported on a later order, which is read soon.
+      return;
+    }
+    List<String> candidates = candidates(rollout);
+    if (rollout.state().filter(state -> state.stage().isFinal()).isEmpty()) {
+      report(rollout, course, candidates, now);
+    }
+    int rank = candidates.indexOf(gateway.settings().node());
+    if (rank < 0) {
+      return;
+    }
+    decide(table, rollout, course, rank, now);
+    confirmStatus(rollout, course, rank, now);
+  }
+
+  private Course course(String service, long orderId) {
+    Course known = courses.get(service);
+    if (known == null || known.orderId < orderId) {
+      known = new Course(orderId);
+      courses.put(service, known);
+    }
+    return known;
+  }
+
+  /**
+   * Returns the first gateways of the ranking, and then the first of those that are connected, in
+   * case none of the former is.
+   */
+  private List<String> candidates(ServiceRollout rollout) {
+    Set<String> candidates = new LinkedHashSet<>(ranked(rollout, peers.members()));
+    candidates.addAll(ranked(rollout, peers.connected()));
+    return List.copyOf(candidates);
+  }
+
+  private List<String> ranked(ServiceRollout rollout, List<String> others) {
+    List<String> all = new ArrayList<>(others);
+    all.add(gateway.settings().node());
+    return CoordinatorRank.candidates(rollout.order().service(), rollout.order().id(), all);
+  }
+
+  private void report(ServiceRollout rollout, Course course, List<String> candidates, Instant now) {
+    int oldRuns = rollouts.oldRuns(rollout);
+    boolean isDrained = rollout.isDraining() && oldRuns == 0;
+    boolean isDue = !course.reportedAt.plus(REPORT_INTERVAL).isAfter(now);
+    // The order completes when the last gateway has reported this.
+    if (!isDue && (!isDrained || course.hasReportedDrained)) {
+      return;
+    }
+    course.reportedAt = now;
+    course.hasReportedDrained = isDrained;
+    RolloutReport report =
+        new RolloutReport(
+            gateway.settings().node(),
+            startedAtMillis,
+            rollout.order().service(),
+            rollout.order().id(),
+            rollout.state().map(state -> state.stage().label()).orElse(""),
+            oldRuns,
+            rollout.evidence().counts());
+    peers.send(candidates, new GatewayMessage.RolloutEvidence(report));
+    onReport(report);
+  }
+
+  void onReport(RolloutReport report) {
+    Course course = course(report.service(), report.orderId());
+    if (course.orderId == report.orderId()) {
+      course.test.add(course.reports.add(report), gateway.clock().instant());
+    }
+  }
+
+  private void decide(
+      RolloutTable table, ServiceRollout rollout, Course course, int rank, Instant now) {
+    String service = rollout.order().service();
+    VersionTest.Verdict verdict = course.test.verdict(newServers(rollout));
+    Optional<RolloutState> next =
+        rollout.state().isEmpty()
+            ? table.initialState(rollout, now)
+            : RolloutPlan.next(
+                rollout.state().get(),
+                new RolloutPlan.Situation(verdict, isDrained(course), rollout.order().duration()),
+                now);
+    if (next.isEmpty()) {
+      course.dueStage = null;
+      return;
+    }
+    if (verdict.kind() == VersionTest.Kind.BAD && !course.isHoldSent) {
+      course.isHoldSent = true;
+      rollouts.hold(service, course.orderId, verdict.reason());
+      peers.send(
+          peers.connected(),
+          new GatewayMessage.RolloutHold(service, course.orderId, verdict.reason()));
+    }
+    if (!next.get().stage().equals(course.dueStage)) {
+      course.dueStage = next.get().stage();
+      course.dueSince = now;
+    }
+    boolean isTime = !course.dueSince.plus(CoordinatorRank.delay(rank)).isAfter(now);
+    if (isTime && !course.isWriting && !course.nextWriteAt.isAfter(now)) {
+      write(rollout, course, next.get(), rank);
+    }
+  }
+
+  private int newServers(ServiceRollout rollout) {
+    return (int)
+        gateway.servers().usable(rollout.order().service()).stream()
+            .filter(rollout::isNew)
+            .map(ServerInstance::id)
+            .count();
+  }
+
+  private boolean isDrained(Course course) {
+    List<String> nodes = new ArrayList<>(peers.connected());
+    nodes.add(gateway.settings().node());
+    return course.reports.isDrained(nodes);
+  }
+
+  private void write(ServiceRollout rollout, Course course, RolloutState next, int rank) {
+    course.isWriting = true;
+    store
+        .writeState(rollout.state(), next)
+        .onSuccess(
+            stored -> {
+              course.hasWrittenStage = stored.equals(next);
+              rollouts.onState(stored);
+            })
+        .onFailure(cause -> logFailure("rollout_stage_not_written", next, rank, cause))
+        .onComplete(
+            ignored -> {
+              course.isWriting = false;
+              course.nextWriteAt = gateway.clock().instant().plus(WRITE_INTERVAL);
+            });
+  }
+
+  private void confirmStatus(ServiceRollout rollout, Course course, int rank, Instant now) {
+    if (rollout.state().isEmpty()) {
+      return;
+    }
+    RolloutState state = rollout.state().get();
+    if (course.statusOf == null || !isSameStatus(course.statusOf, state)) {
+      course.statusOf = state;
+      course.statusDueSince = now;
+      course.isStatusWritten = false;
+    }
+    Duration delay = course.hasWrittenStage ? Duration.ZERO : CoordinatorRank.delay(rank);
+    boolean isTime = !course.statusDueSince.plus(delay).isAfter(now);
+    if (course.isStatusWritten || !isTime || course.isWriting || course.nextWriteAt.isAfter(now)) {
+      return;
+    }
+    course.isWriting = true;
+    store
+        .writeStatus(state)
+        .onSuccess(written -> onStatusWritten(course, state))
+        .onFailure(cause -> logFailure("rollout_status_not_written", state, rank, cause))
+        .onComplete(
+            ignored -> {
+              course.isWriting = false;
+              course.nextWriteAt = gateway.clock().instant().plus(WRITE_INTERVAL);
+            });
+  }
+
+  private static void onStatusWritten(Course course, RolloutState state) {
+    if (course.statusOf != null && isSameStatus(course.statusOf, state)) {
+      course.isStatusWritten = true;
+    }
+  }
+
+  /** Stages that are not final have the same status. */
+  private static boolean isSameStatus(RolloutState one, RolloutState other) {
+    return one.stage().isFinal() || other.stage().isFinal()
+        ? one.stage().equals(other.stage())
+        : true;
+  }
+
+  private void logFailure(String event, RolloutState state, int rank, Throwable cause) {
+    LOG.warn(
+        event,
+        field("service", state.service()),
+        field("order", state.orderId()),
+        field("stage", state.stage().label()),
+        field("rank", rank),
+        field("cause", cause));
+  }
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StoreUpdateListener.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StoreUpdateListener.java
@@ -1,6 +1,8 @@
 package org.cactusseam.edge.gateway;
 
+import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.model.gateway.GatewayConfiguration;
+import org.cactusseam.model.gateway.RolloutOrder;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.quarantine.Conviction;
 
@@ -58,4 +60,25 @@
    * @param conviction cause of crashes, and until when requests with it are refused
    */
   void onConvictionStored(Conviction conviction);
+
+  /**
+   * Called when an order to move a service to another version was read.
+   *
+   * @param order decoded order
+   */
+  default void onRolloutOrder(RolloutOrder order) {}
+
+  /**
+   * Called when the order for a service no longer exists.
+   *
+   * @param service name of the service
+   */
+  default void onRolloutOrderRemoved(String service) {}
+
+  /**
+   * Called when the state of an order was read. It may be older than the known one.
+   *
+   * @param state decoded state
+   */
+  default void onRolloutState(RolloutState state) {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -27,6 +28,9 @@
   private static final int STATUS_OK = 200;
   private static final int STATUS_SERVER_ERROR = 500;
 
+  /** Pause after a move that the retry budget has denied. */
+  private static final Duration MOVE_RETRY_DELAY = Duration.ofMillis(250);
+
   private final HttpServerResponse response;
   private @Nullable StreamRun current;
   private boolean headWritten;
@@ -34,6 +38,7 @@
   private final KvCopies kvCopies = new KvCopies();
   private final StreamTimings timings = new StreamTimings();
   private int continuations;
+  private Instant nextMoveAt = Instant.MIN;
 
   StreamExchange(
       Gateway gateway,
@@ -247,6 +252,7 @@
   @Override
   void cancel() {
     if (current != null) {
+      current.recordAborted();
       current.abort();
       current = null;
     }
@@ -282,5 +288,24 @@
     if (current != null) {
       current.tick(now);
     }
+    if (current != null && current.isMovable() && !nextMoveAt.isAfter(now)) {
+      nextMoveAt = now.plus(MOVE_RETRY_DELAY);
+      move(current);
+    }
+  }
+
+  /** Moves the stream off a server whose version is replaced, if the retry budget permits it. */
+  private void move(StreamRun run) {
+    if (!tryRetry("moved", run.server(), "its version is replaced")) {
+      return;
+    }
+    current = null;
+    excluded.add(run.server().id());
+    run.handOver();
+    if (kvCopies.hasUsable(gateway.servers()::isUsable)) {
+      continueFrom(kvCopies.poll(gateway.servers()::isUsable).orElseThrow());
+    } else {
+      sendOrEnqueue();
+    }
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -39,6 +39,7 @@
   private final StreamOnset onset = new StreamOnset();
   private boolean released;
   private int pendingPrefillTokens;
+  private final StreamOutcome outcome;
 
   StreamRun(
       StreamExchange exchange, ServerInstance server, Optional<KvCopyReference> continuation) {
@@ -48,6 +49,7 @@
     this.continuation = continuation;
     this.copier = new KvCopier(exchange, server);
     this.splitter = new EventSplitter(this::onEvent);
+    this.outcome = new StreamOutcome(gateway, exchange.route, server, continuation.isEmpty());
     this.stallDetector = new StreamStallDetector(exchange.route, gateway.clock().instant());
   }
 
@@ -69,6 +71,7 @@
     // Bytes that complete no event are no activity: a stalled engine may still send some of them.
     Instant now = gateway.clock().instant();
     stallDetector.recordActivity(now);
+    outcome.recordEvent(now);
     endPrefill();
     if (onset.recordEvent(now) && continuation.isEmpty()) {
       exchange.recordAnswered();
@@ -118,6 +121,7 @@
     }
     release();
     gateway.health().recordUnreachable(server.id(), gateway.clock().instant());
+    outcome.recordFailure();
     exchange.onNotRun(this, "cannot connect: " + cause.getMessage());
   }
 
@@ -154,6 +158,7 @@
                   return;
                 }
                 gateway.health().recordFailure(server.id());
+                outcome.recordError(reply.status());
                 release();
                 exchange.onServerError(this, reply.status(), content);
               })
@@ -214,6 +219,7 @@
     }
     abort();
     gateway.health().recordUnreachable(server.id(), gateway.clock().instant());
+    outcome.recordFailure();
     if (onset.hasBegun()) {
       keepCopy();
     }
@@ -228,10 +234,30 @@
     }
     abort();
     gateway.health().recordUnreachable(server.id(), gateway.clock().instant());
+    outcome.recordFailure();
     keepCopy();
     exchange.onBroken(this, reason);
   }
 
+  /** Returns whether a roll-out replaces the server and the run can continue on another one. */
+  boolean isMovable() {
+    return !released
+        && outgoing != null
+        && gateway.rollouts().isReplaced(server)
+        && (copier.hasCopyOnLastingServer() || exchange.canRunAgain());
+  }
+
+  /** Ends the run, so that the stream continues on another server. */
+  void handOver() {
+    abort();
+    keepCopy();
+  }
+
+  /** Records that the stream is no longer wanted. */
+  void recordAborted() {
+    outcome.recordAborted();
+  }
+
   /** Keeps the copy of the run, if there is one, so that the stream can continue from it. */
   private void keepCopy() {
     copier.copy().ifPresent(exchange.kvCopies()::add);
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -12,6 +12,9 @@
 import java.util.stream.Stream;
 import org.cactusseam.edge.peer.PeerCodec;
 import org.cactusseam.logic.gateway.ServerLoads;
+import org.cactusseam.logic.rollout.EvidenceKey;
+import org.cactusseam.logic.rollout.ResponseCounts;
+import org.cactusseam.logic.rollout.RolloutReport;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.gateway.StoreRecord;
@@ -54,6 +57,18 @@
         new GatewayMessage.RecordUpdate(new StoreRecord("topic", "key", 7, Optional.empty())),
         new GatewayMessage.ServerDeparture("e-1", 1_774_656_687_601L),
         new GatewayMessage.QuarantineUpdate("vm-1", SUSPICIONS),
+        new GatewayMessage.RolloutEvidence(
+            new RolloutReport(
+                "vm-1",
+                1_774_656_687_601L,
+                "plain",
+                7,
+                "canary",
+                3,
+                Map.of(
+                    new EvidenceKey(EvidenceKey.Measure.EVENTS, "letters", true, "a", "e-1"),
+                    new ResponseCounts(4, 1, List.of(0, 3, 2))))),
+        new GatewayMessage.RolloutHold("plain", 7, "failures"),
         new GatewayMessage.LoadsAck());
   }
 
