--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -45,6 +45,12 @@
    */
   private static final int CANARY_SERVERS = 2;
 
+  /**
+   * Part of the time to the deadline in which no server is tried out that warms up. Its times show
+   * nothing about its version, and the number of canary requests is limited.
+   */
+  private static final double WARM_UP_PROGRESS = 0.25;
+
   private final Gateway gateway;
   private final Optional<RolloutTable> table;
   private final Set<String> drainingServices = new HashSet<>();
@@ -255,6 +261,9 @@
     List<ServerInstance> candidates =
         gateway.servers().usable(service).stream().filter(choice.versions()::accepts).toList();
     List<ServerInstance> near = candidates.stream().filter(this::isOwnRegion).toList();
+    Instant now = gateway.clock().instant();
+    boolean isEarly =
+        find(service).filter(rollout -> rollout.progress(now) < WARM_UP_PROGRESS).isPresent();
     Set<String> tried =
         (near.isEmpty() ? candidates : near)
             .stream()
@@ -262,6 +271,7 @@
                     Comparator.comparingLong(
                         server -> CoordinatorRank.hash(service, 0, server.id())))
                 .limit(CANARY_SERVERS)
+                .filter(server -> !isEarly || !gateway.servers().isWarmingUp(server.id(), now))
                 .map(ServerInstance::id)
                 .collect(Collectors.toSet());
     return candidates.stream()
