Write a forgotten stage again and repeat the report of a bad version

The store may lose a record, and a gateway that starts later would then begin the order anew. The candidates compare the stored stage with the known one every 10 s and write it again if it is missing; a stage that is already stored is not appended twice.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -37,6 +37,9 @@
   /** Pause after a write that failed, as long as a slow response of the store. */
   private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
 
+  /** A record that the store has forgotten is written again within this time. */
+  private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(10);
+
   private final Gateway gateway;
   private final Rollouts rollouts;
   private final RolloutPeers peers;
@@ -58,7 +61,8 @@
     private @Nullable RolloutState statusOf;
     private Instant statusDueSince = Instant.MIN;
     private boolean isStatusWritten;
-    private boolean isHoldSent;
+    private Instant holdSentAt = Instant.MIN;
+    private Instant confirmedAt = Instant.MIN;
     private boolean hasWrittenStage;
 
     Course(long orderId) {
@@ -165,10 +169,13 @@
                 now);
     if (next.isEmpty()) {
       course.dueStage = null;
+      confirmState(rollout, course, rank, now);
       return;
     }
-    if (verdict.kind() == VersionTest.Kind.BAD && !course.isHoldSent) {
-      course.isHoldSent = true;
+    // Repeated, because a gateway may have been disconnected.
+    if (verdict.kind() == VersionTest.Kind.BAD
+        && !course.holdSentAt.plus(REPORT_INTERVAL).isAfter(now)) {
+      course.holdSentAt = now;
       rollouts.hold(service, course.orderId, verdict.reason());
       peers.send(
           peers.connected(),
@@ -184,6 +191,16 @@
     }
   }
 
+  /** Writes the known state again if the store has forgotten it. */
+  private void confirmState(ServiceRollout rollout, Course course, int rank, Instant now) {
+    if (rollout.state().isPresent()
+        && !course.isWriting
+        && !course.confirmedAt.plus(CONFIRM_INTERVAL).isAfter(now)) {
+      course.confirmedAt = now;
+      write(rollout, course, rollout.state().get(), rank);
+    }
+  }
+
   private int newServers(ServiceRollout rollout) {
     return (int)
         gateway.servers().usable(rollout.order().service()).stream()
@@ -204,7 +221,7 @@
         .writeState(rollout.state(), next)
         .onSuccess(
             stored -> {
-              course.hasWrittenStage = stored.equals(next);
+              course.hasWrittenStage |= stored.equals(next);
               rollouts.onState(stored);
             })
         .onFailure(cause -> logFailure("rollout_stage_not_written", next, rank, cause))
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutStore.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutStore.java
@@ -8,8 +8,8 @@
 public interface RolloutStore {
 
   /**
-   * Writes a state, unless the store has a state other than the one that it follows. Every gateway
-   * reads it and calls {@link StoreUpdateListener#onRolloutState}.
+   * Writes a state, unless the store already has it or a state other than the one that it follows.
+   * Every gateway reads it and calls {@link StoreUpdateListener#onRolloutState}.
    *
    * @param known state from which the next one was decided; empty if none is known
    * @param next state to write
