--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.logic.rollout.RolloutReport;
+import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.cactusseam.model.quarantine.Suspicions;
 
@@ -92,6 +93,13 @@
    */
   record RolloutHold(String service, long orderId, String reason) implements GatewayMessage {}
 
+  /**
+   * A stage that the store has, for gateways that cannot read it.
+   *
+   * @param state state of an order
+   */
+  record RolloutUpdate(RolloutState state) implements GatewayMessage {}
+
   /** Reply to {@link Loads}, which shows that the connection is alive. */
   record LoadsAck() implements GatewayMessage {}
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -32,6 +32,7 @@
   private static final int QUARANTINE_UPDATE = 9;
   private static final int ROLLOUT_EVIDENCE = 10;
   private static final int ROLLOUT_HOLD = 11;
+  private static final int ROLLOUT_UPDATE = 12;
 
   private GatewayMessageCodec() {}
 
@@ -69,6 +70,8 @@
                 .packString(hold.service())
                 .packLong(hold.orderId())
                 .packString(hold.reason());
+        case GatewayMessage.RolloutUpdate update ->
+            RolloutReportCodec.write(packer.packInt(ROLLOUT_UPDATE), update.state());
         case GatewayMessage.ServerDeparture departure ->
             packer
                 .packInt(SERVER_DEPARTURE)
@@ -145,6 +148,8 @@
       case ROLLOUT_HOLD ->
           new GatewayMessage.RolloutHold(
               unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString());
+      case ROLLOUT_UPDATE ->
+          new GatewayMessage.RolloutUpdate(RolloutReportCodec.readState(unpacker));
       default -> throw new IOException("unknown gateway message type " + type);
     };
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -237,6 +237,7 @@
         case GatewayMessage.QuarantineUpdate update ->
             gateway.quarantine().merge(update.node(), update.suspicions());
         case GatewayMessage.RolloutEvidence evidence -> reportReceiver.accept(evidence.report());
+        case GatewayMessage.RolloutUpdate update -> gateway.rollouts().onState(update.state());
         case GatewayMessage.RolloutHold hold ->
             gateway.rollouts().hold(hold.service(), hold.orderId(), hold.reason());
         case GatewayMessage.LoadsAck ack -> {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -63,6 +63,8 @@
     private boolean isStatusWritten;
     private Instant holdSentAt = Instant.MIN;
     private Instant confirmedAt = Instant.MIN;
+    private @Nullable RolloutState announced;
+    private Instant announcedAt = Instant.MIN;
     private boolean hasWrittenStage;
 
     Course(long orderId) {
@@ -99,6 +101,22 @@
     }
     decide(table, rollout, course, rank, now);
     confirmStatus(rollout, course, rank, now);
+    announce(rollout, course, now);
+  }
+
+  /**
+   * Sends the stage to all gateways when it changes, and again at intervals for those that were
+   * disconnected. A gateway that cannot read the store would otherwise keep the others from
+   * completing the order.
+   */
+  private void announce(ServiceRollout rollout, Course course, Instant now) {
+    boolean isRecent = course.announcedAt.plus(CONFIRM_INTERVAL).isAfter(now);
+    if (rollout.state().isEmpty() || (isRecent && rollout.state().get().equals(course.announced))) {
+      return;
+    }
+    course.announced = rollout.state().get();
+    course.announcedAt = now;
+    peers.send(peers.connected(), new GatewayMessage.RolloutUpdate(course.announced));
   }
 
   private Course course(String service, long orderId) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutReportCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutReportCodec.java
@@ -3,16 +3,20 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cactusseam.logic.rollout.EvidenceKey;
 import org.cactusseam.logic.rollout.ResponseCounts;
 import org.cactusseam.logic.rollout.RolloutReport;
+import org.cactusseam.logic.rollout.RolloutStage;
+import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.logic.rollout.TimeClasses;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Encodes and decodes reports on roll-outs within the messages between gateways. */
+/** Encodes and decodes reports and states of roll-outs within the messages between gateways. */
 final class RolloutReportCodec {
 
   private RolloutReportCodec() {}
@@ -45,6 +49,37 @@
     }
   }
 
+  static void write(MessagePacker packer, RolloutState state) throws IOException {
+    packer
+        .packString(state.service())
+        .packLong(state.orderId())
+        .packString(state.version())
+        .packLong(state.deadlineMillis())
+        .packString(state.stage().label())
+        .packString(state.reason())
+        .packInt(state.replaced().size());
+    for (String version : state.replaced()) {
+      packer.packString(version);
+    }
+  }
+
+  static RolloutState readState(MessageUnpacker unpacker) throws IOException {
+    String service = unpacker.unpackString();
+    long orderId = unpacker.unpackLong();
+    String version = unpacker.unpackString();
+    long deadlineMillis = unpacker.unpackLong();
+    String label = unpacker.unpackString();
+    RolloutStage stage =
+        RolloutStage.find(label).orElseThrow(() -> new IOException("unknown stage " + label));
+    String reason = unpacker.unpackString();
+    Set<String> replaced = new HashSet<>();
+    int size = unpacker.unpackInt();
+    for (int index = 0; index < size; index++) {
+      replaced.add(unpacker.unpackString());
+    }
+    return new RolloutState(service, orderId, version, replaced, deadlineMillis, stage, reason);
+  }
+
   static RolloutReport read(MessageUnpacker unpacker) throws IOException {
     String node = unpacker.unpackString();
     long startedAtMillis = unpacker.unpackLong();
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -15,6 +15,8 @@
 import org.cactusseam.logic.rollout.EvidenceKey;
 import org.cactusseam.logic.rollout.ResponseCounts;
 import org.cactusseam.logic.rollout.RolloutReport;
+import org.cactusseam.logic.rollout.RolloutStage;
+import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.gateway.StoreRecord;
@@ -68,6 +70,9 @@
                 Map.of(
                     new EvidenceKey(EvidenceKey.Measure.EVENTS, "letters", true, "a", "e-1"),
                     new ResponseCounts(4, 1, List.of(0, 3, 2))))),
+        new GatewayMessage.RolloutUpdate(
+            new RolloutState(
+                "plain", 7, "v2", Set.of("v1"), 9_000, new RolloutStage.Draining(), "good")),
         new GatewayMessage.RolloutHold("plain", 7, "failures"),
         new GatewayMessage.LoadsAck());
   }
