Keep the exposure limit in draining

Draining sent all requests to the new version 2 to 4 s before the deadline, about twice the bound if the version turned bad only then. Each VM now sends all requests to it only from the time at which its share of the limit lasts until the deadline, uses old servers before that, and falls back to them when the limit is used up. Runs are copied from the start of draining and moved after the switch. Reports are sent every 200 ms after the canary stage. An order whose VMs have not switched shortly after the deadline is reverted.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutPlan.java
@@ -24,6 +24,12 @@
 
   private static final Duration MAX_DRAINING = Duration.ofSeconds(4);
 
+  /**
+   * Time after the deadline in which VMs report that they have switched. The deadline in the state
+   * is up to 0.4 s too early, and a report is sent every 0.2 s.
+   */
+  private static final Duration REPORT_TIME = Duration.ofMillis(800);
+
   /** Time after the deadline at which an order that cannot drain is given up. */
   private static final Duration MAX_OVERTIME = Duration.ofSeconds(20);
 
@@ -33,10 +39,12 @@
    * Inputs of a decision.
    *
    * @param verdict result of the test of the new version
+   * @param hasSwitched whether all requests of every VM go to the new version
    * @param isDrained whether nothing runs on the servers that are replaced
    * @param duration time from the order to its deadline
    */
-  public record Situation(VersionTest.Verdict verdict, boolean isDrained, Duration duration) {}
+  public record Situation(
+      VersionTest.Verdict verdict, boolean hasSwitched, boolean isDrained, Duration duration) {}
 
   /**
    * Decides on the next stage.
@@ -76,6 +84,12 @@
         if (situation.isDrained()) {
           yield Optional.of(state.in(new RolloutStage.Completed(), situation.verdict().reason()));
         }
+        if (!situation.hasSwitched() && !now.isBefore(deadline.plus(REPORT_TIME))) {
+          yield Optional.of(
+              state.in(
+                  new RolloutStage.Reverted(),
+                  "the exposure bound does not permit to complete in time"));
+        }
         yield now.isBefore(deadline.plus(MAX_OVERTIME))
             ? Optional.empty()
             : Optional.of(
@@ -96,7 +110,7 @@
         : Optional.empty();
   }
 
-  private static Duration reserve(Duration duration) {
+  static Duration reserve(Duration duration) {
     return clamp(duration, RESERVE_SHARE, MIN_RESERVE, MAX_RESERVE);
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutReport.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutReport.java
@@ -9,7 +9,8 @@
  * @param startedAtMillis start of its process, in milliseconds since the Unix epoch
  * @param service name of the service
  * @param orderId identifier of the order
- * @param stage name of the stage that the VM follows; empty if it knows none
+ * @param stage name of the stage that the VM follows; empty if it knows none; draining only while
+ *     all its requests go to the new version, shifting before
  * @param oldRuns requests that the VM runs on servers that are replaced
  * @param counts responses since it read the order
  */
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutReports.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutReports.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** Reports of all VMs on one order. */
 public final class RolloutReports {
@@ -31,17 +32,29 @@
   }
 
   /**
-   * Returns whether VMs have reported, while they followed the draining stage, that nothing runs on
-   * replaced servers.
+   * Returns whether VMs have reported, while they sent all requests to the new version, that
+   * nothing runs on replaced servers.
    *
    * @param nodes VMs that must have reported
    * @return whether all have
    */
   public boolean isDrained(Collection<String> nodes) {
-    String draining = new RolloutStage.Draining().label();
     return nodes.stream()
         .map(latest::get)
-        .allMatch(
-            report -> report != null && report.stage().equals(draining) && report.oldRuns() == 0);
+        .allMatch(each -> each != null && hasSwitched(each) && each.oldRuns() == 0);
+  }
+
+  /**
+   * Returns whether VMs have reported that they send all requests to the new version.
+   *
+   * @param nodes VMs that must have reported
+   * @return whether all have
+   */
+  public boolean hasSwitched(Collection<String> nodes) {
+    return nodes.stream().map(latest::get).allMatch(RolloutReports::hasSwitched);
+  }
+
+  private static boolean hasSwitched(@Nullable RolloutReport report) {
+    return report != null && report.stage().equals(new RolloutStage.Draining().label());
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutTable.java
@@ -197,23 +197,29 @@
     Choice tried = new Choice(state.get().newVersion(), false);
     return switch (state.get().stage()) {
       case RolloutStage.Canary ignored ->
-          isFirst
-                  && !rollout.isHeld()
-                  && rollout.exposure().hasCapacity(true, vms, rollout.progress(now))
+          mayTry(rollout, isFirst, vms, now)
               ? List.of(new Choice(tried.versions(), true), old)
               : List.of(old);
       case RolloutStage.Shifting ignored ->
-          isFirst
-                  && !rollout.isHeld()
-                  && rollout.exposure().hasCapacity(false, vms, rollout.progress(now))
-              ? List.of(tried, old)
-              : List.of(old);
-      case RolloutStage.Draining ignored -> List.of(rollout.isHeld() ? old : tried);
+          mayTry(rollout, isFirst, vms, now) ? List.of(tried, old) : List.of(old);
+      case RolloutStage.Draining ignored -> {
+        if (state.get().isRestoring()) {
+          yield List.of(tried);
+        }
+        if (rollout.isDraining() && rollout.canStaySwitched(vms, now)) {
+          yield List.of(tried);
+        }
+        yield mayTry(rollout, isFirst, vms, now) ? List.of(tried, old) : List.of(old);
+      }
       case RolloutStage.Completed ignored -> List.of(withoutOrder);
       case RolloutStage.Reverted ignored -> List.of(withoutOrder);
     };
   }
 
+  private static boolean mayTry(ServiceRollout rollout, boolean isFirst, int vms, Instant now) {
+    return isFirst && !rollout.isHeld() && rollout.exposure().hasCapacity(rollout.phase(now), vms);
+  }
+
   private VersionFilter withoutOrderOf(ServiceRollout rollout) {
     Set<String> proven = versions(rollout.order().service()).proven();
     Set<String> others = new HashSet<>(proven);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
@@ -19,6 +19,7 @@
   private final RolloutEvidence evidence = new RolloutEvidence();
   private Optional<RolloutState> state = Optional.empty();
   private boolean held;
+  private boolean switched;
 
   ServiceRollout(RolloutOrder order, Instant readAt, ExposureLimit exposure) {
     this.order = order;
@@ -93,13 +94,84 @@
   /**
    * Returns whether other versions count as leaving.
    *
-   * @return whether the order is draining and no VM has reported a bad verdict
+   * @return whether the order is draining, all requests of this VM go to the new version, and no VM
+   *     has reported a bad verdict
    */
   public boolean isDraining() {
+    return isPreparing() && (switched || state.filter(RolloutState::isRestoring).isPresent());
+  }
+
+  /**
+   * Returns whether the runs of other versions are copied, so that they can be moved.
+   *
+   * @return whether the order is draining and no VM has reported a bad verdict
+   */
+  public boolean isPreparing() {
     return !held
         && state.filter(known -> known.stage() instanceof RolloutStage.Draining).isPresent();
   }
 
+  /**
+   * Decides whether all requests of this VM go to the new version. They do from the time at which
+   * the exposure limit lasts until the deadline, and no longer once it is used up before.
+   *
+   * @param vms number of VMs that share the exposure limit
+   * @param oldRuns runs of this VM on servers that are replaced
+   */
+  public void updateSwitch(int vms, int oldRuns, Instant now) {
+    if (!isPreparing()) {
+      switched = false;
+      return;
+    }
+    switched =
+        switched
+            ? canStaySwitched(vms, now)
+            : millisLeft(now) <= 0 || canTakeAll(vms, oldRuns, now);
+  }
+
+  /** Returns whether the exposure limit still permits that all requests go to the new version. */
+  boolean canStaySwitched(int vms, Instant now) {
+    return millisLeft(now) <= 0
+        || exposure.hasCapacity(new ExposureLimit.Phase.Full(), vms)
+        || canTakeAll(vms, 0, now);
+  }
+
+  private boolean canTakeAll(int vms, int moves, Instant now) {
+    long elapsed = Duration.between(readAt, now).toMillis();
+    return exposure.canTakeAll(vms, elapsed, millisLeft(now), moves);
+  }
+
+  /** Returns the time for which requests count against the exposure bound. */
+  private long millisLeft(Instant now) {
+    return state
+        .map(known -> known.deadlineMillis() - now.toEpochMilli() + READ_DELAY.toMillis())
+        .orElse(0L);
+  }
+
+  /** Returns the part of the exposure limit that applies, given that the stage is not final. */
+  ExposureLimit.Phase phase(Instant now) {
+    if (state.filter(known -> known.stage() instanceof RolloutStage.Canary).isPresent()) {
+      return new ExposureLimit.Phase.Canary(progress(now));
+    }
+    double reserve = RolloutPlan.reserve(order.duration()).toMillis();
+    return switched
+        ? new ExposureLimit.Phase.Full()
+        : new ExposureLimit.Phase.Ramp(Math.clamp(1 - millisLeft(now) / reserve, 0, 1));
+  }
+
+  /**
+   * Returns the stage for the report of this VM.
+   *
+   * @return name of the stage, empty if none is known; draining only when no request of this VM
+   *     goes to other versions any more
+   */
+  public String reportedStage() {
+    return state
+        .map(known -> isPreparing() && !isDraining() ? new RolloutStage.Shifting() : known.stage())
+        .map(RolloutStage::label)
+        .orElse("");
+  }
+
   boolean isHeld() {
     return held;
   }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutPlanTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutPlanTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
@@ -10,9 +11,13 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.cactusseam.model.gateway.RolloutOrder;
 import org.cactusseam.model.gateway.RolloutSettings;
+import org.cactusseam.model.gateway.ServerInstance;
+import org.cactusseam.model.gateway.VersionFilter;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -62,7 +67,7 @@
       String expected) {
     RolloutPlan.Situation situation =
         new RolloutPlan.Situation(
-            new VersionTest.Verdict(kind, "test"), isDrained, Duration.ofSeconds(12));
+            new VersionTest.Verdict(kind, "test"), true, isDrained, Duration.ofSeconds(12));
     String next =
         RolloutPlan.next(state(stage, replaced), situation, DEADLINE.minusMillis(millisLeft))
             .map(state -> state.stage().label())
@@ -70,6 +75,72 @@
     assertThat(next, is(expected));
   }
 
+  @Test
+  void an_order_is_reverted_if_the_bound_keeps_a_vm_from_switching_before_the_deadline() {
+    RolloutPlan.Situation situation =
+        new RolloutPlan.Situation(
+            new VersionTest.Verdict(VersionTest.Kind.GOOD, "test"),
+            false,
+            false,
+            Duration.ofSeconds(12));
+    RolloutState draining = state("draining", "v1");
+    assertThat(RolloutPlan.next(draining, situation, DEADLINE), is(Optional.empty()));
+    assertThat(
+        RolloutPlan.next(draining, situation, DEADLINE.plusSeconds(1)).orElseThrow().stage(),
+        is(new RolloutStage.Reverted()));
+  }
+
+  /**
+   * Guards against a version that turns bad in shifting or draining and then receives more than the
+   * bound although its faults are not reported in time.
+   */
+  @ParameterizedTest
+  @CsvSource({"1, 50, 9", "1, 230, 12", "6, 100, 12", "24, 100, 20", "6, 30, 60"})
+  void no_stage_sends_more_than_the_bound(int vms, int perSecond, int seconds) {
+    RolloutSettings settings = new RolloutSettings(0.1, 50, Duration.ofSeconds(5));
+    // The deadline in the state is earlier by the time in which an order is read.
+    Instant end = DEADLINE.plusMillis(400);
+    Instant start = end.minusSeconds(seconds);
+    RolloutOrder order = new RolloutOrder("plain", "v2", Duration.ofSeconds(seconds), 7);
+    List<RolloutTable> tables =
+        IntStream.range(0, vms)
+            .mapToObj(vm -> new RolloutTable(settings, Duration.ofSeconds(4), "vm-" + vm))
+            .toList();
+    for (RolloutTable table : tables) {
+      ServerInstance old =
+          new ServerInstance(
+              "s-1", 1, "plain", "127.0.0.1", 8_000, "a", 24, false, Duration.ZERO, "v1");
+      table.update("plain", List.of(old), start.minusSeconds(9));
+      table.update("plain", List.of(old), start);
+      table.onOrder(order, start);
+      table.onState(state("canary", "v1"));
+    }
+    int sent = 0;
+    int requests = 0;
+    int lastOld = 0;
+    for (int tick = 0; tick < seconds * perSecond; tick++) {
+      Instant now = start.plusMillis(tick * 1_000L / perSecond);
+      RolloutTable table = tables.get(tick % vms);
+      ServiceRollout rollout = table.find("plain").orElseThrow();
+      long left = Duration.between(now, DEADLINE).toMillis();
+      String stage = left < 2_500 ? "draining" : left < 4_000 ? "shifting" : "canary";
+      table.onState(state(stage, "v1"));
+      rollout.updateSwitch(vms, 0, now);
+      requests++;
+      rollout.exposure().recordRequest();
+      VersionFilter first = table.choices("plain", true, vms, now).getFirst().versions();
+      if (first.equals(VersionFilter.only(Set.of("v2")))) {
+        rollout.exposure().recordSent();
+        sent++;
+      } else {
+        lastOld = tick;
+      }
+    }
+    assertThat((double) sent, is(lessThanOrEqualTo(0.1 * requests + 50)));
+    // A good version completes before the deadline only if all requests go to it some time before.
+    assertThat(lastOld, is(lessThan(seconds * perSecond - perSecond / 4)));
+  }
+
   @Test
   void an_order_drains_only_when_every_vm_has_said_so_in_that_stage() {
     RolloutReports reports = new RolloutReports();
@@ -129,7 +200,7 @@
         for (int request = 0; request < 600 / vms; request++) {
           requests++;
           limit.recordRequest();
-          if (limit.hasCapacity(false, vms, 0)) {
+          if (limit.hasCapacity(new ExposureLimit.Phase.Full(), vms)) {
             limit.recordSent();
           }
         }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -108,7 +108,14 @@
     enter(state, new RolloutStage.Shifting());
     assertThat(versions(), contains(V2, V1));
     enter(state, new RolloutStage.Draining());
+    // The old version is needed until the limit lasts to the deadline, and not after that.
+    ServiceRollout rollout = table.find("plain").orElseThrow();
+    rollout.updateSwitch(1, 0, START.plus(HOLD).plusMillis(100));
+    assertThat(versions(), contains(V2, V1));
+    assertThat(rollout.reportedStage(), is("shifting"));
+    rollout.updateSwitch(1, 0, Instant.ofEpochMilli(state.deadlineMillis()).minusMillis(50));
     assertThat(versions(), contains(V2));
+    assertThat(rollout.reportedStage(), is("draining"));
     enter(state, new RolloutStage.Completed());
     assertThat(versions(), contains(V2));
   }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/VersionSimulation.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/VersionSimulation.java
@@ -71,7 +71,7 @@
       RolloutEvidence evidence = new RolloutEvidence();
       for (int request = 0; request < perSecond; request++) {
         limit.recordRequest();
-        boolean isNew = limit.hasCapacity(true, 1, second / 12.0);
+        boolean isNew = limit.hasCapacity(new ExposureLimit.Phase.Canary(second / 12.0), 1);
         if (isNew) {
           limit.recordSent();
         }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
@@ -47,7 +47,8 @@
 
   @Override
   public boolean isLeaving(ServerInstance engine) {
-    return gateway.leavingServers().isLeaving(engine.id());
+    return gateway.leavingServers().isLeaving(engine.id())
+        || gateway.rollouts().isToBeReplaced(engine);
   }
 
   @Override
@@ -64,7 +65,7 @@
                     currentTokens(),
                     allExcluded,
                     requirements.spread(),
-                    gateway.rollouts().usualVersions(source.service())),
+                    gateway.rollouts().copyTargets(source.service())),
                 source);
     if (target.isEmpty()) {
       logMissingTarget(gateway.clock().instant());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -34,6 +34,9 @@
 
   private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
 
+  /** In shifting and draining, a bad version receives many requests within a second. */
+  private static final Duration SHORT_REPORT_INTERVAL = Duration.ofMillis(200);
+
   /** Pause after a write that failed, as long as a slow response of the store. */
   private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
 
@@ -147,7 +150,7 @@
   private void report(ServiceRollout rollout, Course course, List<String> candidates, Instant now) {
     int oldRuns = rollouts.oldRuns(rollout);
     boolean isDrained = rollout.isDraining() && oldRuns == 0;
-    boolean isDue = !course.reportedAt.plus(REPORT_INTERVAL).isAfter(now);
+    boolean isDue = !course.reportedAt.plus(reportInterval(rollout)).isAfter(now);
     // The order completes when the last gateway has reported this.
     if (!isDue && (!isDrained || course.hasReportedDrained)) {
       return;
@@ -160,13 +163,22 @@
             startedAtMillis,
             rollout.order().service(),
             rollout.order().id(),
-            rollout.state().map(state -> state.stage().label()).orElse(""),
+            rollout.reportedStage(),
             oldRuns,
             rollout.evidence().counts());
     peers.send(candidates, new GatewayMessage.RolloutEvidence(report));
     onReport(report);
   }
 
+  private static Duration reportInterval(ServiceRollout rollout) {
+    return rollout
+            .state()
+            .filter(state -> !(state.stage() instanceof RolloutStage.Canary))
+            .isPresent()
+        ? SHORT_REPORT_INTERVAL
+        : REPORT_INTERVAL;
+  }
+
   void onReport(RolloutReport report) {
     Course course = course(report.service(), report.orderId());
     if (course.orderId == report.orderId()) {
@@ -183,7 +195,11 @@
             ? table.initialState(rollout, now)
             : RolloutPlan.next(
                 rollout.state().get(),
-                new RolloutPlan.Situation(verdict, isDrained(course), rollout.order().duration()),
+                new RolloutPlan.Situation(
+                    verdict,
+                    course.reports.hasSwitched(reportingNodes()),
+                    course.reports.isDrained(reportingNodes()),
+                    rollout.order().duration()),
                 now);
     if (next.isEmpty()) {
       course.dueStage = null;
@@ -227,10 +243,10 @@
             .count();
   }
 
-  private boolean isDrained(Course course) {
+  private List<String> reportingNodes() {
     List<String> nodes = new ArrayList<>(peers.connected());
     nodes.add(gateway.settings().node());
-    return course.reports.isDrained(nodes);
+    return nodes;
   }
 
   private void write(ServiceRollout rollout, Course course, RolloutState next, int rank) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -153,6 +153,21 @@
         .map(ServerInstance::service)
         .distinct()
         .forEach(service -> update(table.get(), service, now));
+    for (ServiceRollout rollout : table.get().all()) {
+      boolean wasDraining = rollout.isDraining();
+      if (rollout.isPreparing()) {
+        rollout.updateSwitch(gateway.vmCount(), oldRuns(rollout), now);
+      }
+      if (rollout.isDraining() != wasDraining) {
+        LOG.info(
+            "rollout_switched",
+            field("service", rollout.order().service()),
+            field("order", rollout.order().id()),
+            field("all_new", rollout.isDraining()),
+            field("sent", sent(rollout)),
+            field("gateways", gateway.vmCount()));
+      }
+    }
     applyDraining(table.get());
   }
 
@@ -187,6 +202,22 @@
             .isPresent();
   }
 
+  /** Returns whether runs of a server are to be copied because its version will be replaced. */
+  boolean isToBeReplaced(ServerInstance server) {
+    return find(server.service())
+        .filter(rollout -> rollout.isPreparing() && !rollout.isNew(server))
+        .isPresent();
+  }
+
+  /** Returns the versions of the servers to which runs may be copied. */
+  VersionFilter copyTargets(String service) {
+    return find(service)
+        .filter(ServiceRollout::isPreparing)
+        .flatMap(ServiceRollout::state)
+        .map(RolloutState::newVersion)
+        .orElseGet(() -> usualVersions(service));
+  }
+
   /** Returns the number of requests of this gateway that run on servers that are replaced. */
   int oldRuns(ServiceRollout rollout) {
     return gateway.loads().own().entrySet().stream()
