Keep a bad verdict for the rest of an order

The verdict was computed again from the sums of each candidate, so a version that was found bad could become undecided again, and a candidate that learnt of the verdict from another one did not use it. A candidate now keeps a bad verdict and takes over that of a hold message, after which the plan only reverts. A VM that holds no longer reports the draining stage, so that it cannot count as drained because nothing runs on old servers for a moment.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutTable.java
@@ -113,14 +113,15 @@
   /**
    * Stops requests to the new version, because a VM has found it to be bad.
    *
+   * @param reason evidence of the verdict
    * @return whether the order is known and was not held before
    */
-  public boolean hold(String service, long orderId) {
+  public boolean hold(String service, long orderId, String reason) {
     ServiceRollout rollout = rollouts.get(service);
     if (rollout == null || rollout.order().id() != orderId || rollout.isHeld()) {
       return false;
     }
-    rollout.hold();
+    rollout.hold(reason);
     return true;
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
@@ -18,7 +18,7 @@
   private final ExposureLimit exposure;
   private final RolloutEvidence evidence = new RolloutEvidence();
   private Optional<RolloutState> state = Optional.empty();
-  private boolean held;
+  private Optional<String> holdReason = Optional.empty();
   private boolean switched;
 
   ServiceRollout(RolloutOrder order, Instant readAt, ExposureLimit exposure) {
@@ -107,7 +107,7 @@
    * @return whether the order is draining and no VM has reported a bad verdict
    */
   public boolean isPreparing() {
-    return !held
+    return !isHeld()
         && state.filter(known -> known.stage() instanceof RolloutStage.Draining).isPresent();
   }
 
@@ -129,8 +129,13 @@
             : millisLeft(now) <= 0 || canTakeAll(vms, oldRuns, now);
   }
 
-  /** Returns whether the exposure limit still permits that all requests go to the new version. */
-  boolean canStaySwitched(int vms, Instant now) {
+  /**
+   * Returns whether the exposure limit still permits that all requests go to the new version.
+   *
+   * @param vms number of VMs that share the exposure limit
+   * @return whether another request may be sent
+   */
+  public boolean canStaySwitched(int vms, Instant now) {
     return millisLeft(now) <= 0
         || exposure.hasCapacity(new ExposureLimit.Phase.Full(), vms)
         || canTakeAll(vms, 0, now);
@@ -167,17 +172,31 @@
    */
   public String reportedStage() {
     return state
-        .map(known -> isPreparing() && !isDraining() ? new RolloutStage.Shifting() : known.stage())
+        .map(RolloutState::stage)
+        .map(
+            stage ->
+                stage instanceof RolloutStage.Draining && !isDraining()
+                    ? new RolloutStage.Shifting()
+                    : stage)
         .map(RolloutStage::label)
         .orElse("");
   }
 
   boolean isHeld() {
-    return held;
+    return holdReason.isPresent();
+  }
+
+  /**
+   * Returns the verdict that stopped requests to the new version.
+   *
+   * @return bad verdict of this VM or another one, empty without one; it is never withdrawn
+   */
+  public Optional<VersionTest.Verdict> badVerdict() {
+    return holdReason.map(reason -> new VersionTest.Verdict(VersionTest.Kind.BAD, reason));
   }
 
-  void hold() {
-    held = true;
+  void hold(String reason) {
+    holdReason = Optional.of(reason);
   }
 
   boolean accept(RolloutState stored) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/VersionTest.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/VersionTest.java
@@ -51,6 +51,7 @@
   private final Map<EvidenceKey, List<Integer>> pending = new HashMap<>();
 
   private final Map<Symptom, Double> totals = new HashMap<>();
+  private Optional<Verdict> bad = Optional.empty();
   private int newResponses;
   private int newFailures;
   private int newSlow;
@@ -159,13 +160,23 @@
   }
 
   /**
-   * Returns the result of the responses so far.
+   * Returns the result of the responses so far. A bad version stays bad: later responses, of which
+   * there are few after the verdict, must not let the order complete.
    *
    * @param newServers number of listed servers of the new version; if there is only one, a fault of
    *     the server cannot be told from one of the version
    * @return result
    */
   public Verdict verdict(int newServers) {
+    if (bad.isEmpty()) {
+      Verdict latest = latestVerdict(newServers);
+      bad = latest.kind() == Kind.BAD ? Optional.of(latest) : Optional.empty();
+      return latest;
+    }
+    return bad.get();
+  }
+
+  private Verdict latestVerdict(int newServers) {
     for (Map.Entry<Scope, Cusum> entry : sums.entrySet()) {
       Cusum sum = entry.getValue();
       if (sum.total() >= BAD
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -136,11 +136,19 @@
     list(Duration.ZERO, "v1");
     list(HOLD, "v1", "v2");
     RolloutState state = startOrder("v2", 7, HOLD);
-    table.hold("plain", 7);
+    table.hold("plain", 7, "failures");
     assertThat(versions(), contains(V1));
     enter(state, new RolloutStage.Draining());
     assertThat(versions(), contains(V1));
-    assertThat(table.find("plain").orElseThrow().isDraining(), is(false));
+    ServiceRollout rollout = table.find("plain").orElseThrow();
+    rollout.updateSwitch(1, 0, Instant.ofEpochMilli(state.deadlineMillis()).plusSeconds(1));
+    assertThat(versions(), contains(V1));
+    assertThat(rollout.isDraining(), is(false));
+    // A VM that uses the old version does not count as drained although nothing runs there.
+    assertThat(rollout.reportedStage(), is("shifting"));
+    assertThat(
+        rollout.badVerdict().orElseThrow(),
+        is(new VersionTest.Verdict(VersionTest.Kind.BAD, "failures")));
   }
 
   @Test
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
@@ -5,7 +5,11 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.time.Instant;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -80,6 +84,18 @@
     }
   }
 
+  /** Guards against an order that completes because few responses follow the bad verdict. */
+  @Test
+  void a_bad_version_stays_bad() {
+    EvidenceKey key = new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", true, "a", "s-1");
+    VersionTest test = new VersionTest();
+    test.add(Map.of(key, new ResponseCounts(0, 9, List.of())), Instant.EPOCH);
+    assertThat(test.verdict(1).kind(), is(VersionTest.Kind.BAD));
+    test.add(Map.of(key, new ResponseCounts(500, 0, List.of())), Instant.EPOCH);
+    assertThat(test.verdict(1).kind(), is(VersionTest.Kind.BAD));
+    assertThat(test.verdict(2).kind(), is(VersionTest.Kind.BAD));
+  }
+
   /** Results of many roll-outs with different seeds. */
   private static final class Tally {
     private int good;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -189,7 +189,8 @@
   private void decide(
       RolloutTable table, ServiceRollout rollout, Course course, int rank, Instant now) {
     String service = rollout.order().service();
-    VersionTest.Verdict verdict = course.test.verdict(newServers(rollout));
+    VersionTest.Verdict verdict =
+        rollout.badVerdict().orElseGet(() -> course.test.verdict(newServers(rollout)));
     Optional<RolloutState> next =
         rollout.state().isEmpty()
             ? table.initialState(rollout, now)
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -135,7 +135,7 @@
 
   /** Stops requests to the new version of an order. */
   void hold(String service, long orderId, String reason) {
-    if (table.isPresent() && table.get().hold(service, orderId)) {
+    if (table.isPresent() && table.get().hold(service, orderId, reason)) {
       LOG.warn(
           "rollout_held",
           field("service", service),
