Wait for disconnected VMs before an order completes

An order completed when all connected VMs had drained, and the report of a VM could be of any age. A VM in a partition lost its streams on old servers. The coordinator now also waits for VMs that were disconnected less than 10 s ago, longer than a partition lasts, and requires reports of the last second. The retention of 60 s is too long: a VM that is killed during the order would keep it from completing until the order is given up.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
@@ -22,6 +22,9 @@
    */
   private static final Duration SHARE_RETENTION = Duration.ofSeconds(60);
 
+  /** A VM that is unreachable for longer has ended, because partitions last up to 9 s. */
+  private static final Duration MAX_PARTITION = Duration.ofSeconds(10);
+
   private final Set<String> connected = new HashSet<>();
   private final Map<String, Instant> unreachableSince = new HashMap<>();
   private boolean hasLostPeer;
@@ -83,13 +86,26 @@
    * @return connected peers and those that became unreachable less than 60 s ago
    */
   public List<String> sharing(Instant now) {
-    List<String> sharing = new ArrayList<>(connected);
+    return reachableWithin(SHARE_RETENTION, now);
+  }
+
+  /**
+   * Returns the names of the peers that may serve requests although they are unreachable.
+   *
+   * @return connected peers and those that became unreachable less than 10 s ago
+   */
+  public List<String> possiblyPartitioned(Instant now) {
+    return reachableWithin(MAX_PARTITION, now);
+  }
+
+  private List<String> reachableWithin(Duration time, Instant now) {
+    List<String> nodes = new ArrayList<>(connected);
     unreachableSince.forEach(
         (node, at) -> {
-          if (at.plus(SHARE_RETENTION).isAfter(now)) {
-            sharing.add(node);
+          if (at.plus(time).isAfter(now)) {
+            nodes.add(node);
           }
         });
-    return sharing;
+    return nodes;
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutReports.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutReports.java
@@ -1,14 +1,20 @@
 package org.cactusseam.logic.rollout;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import org.jspecify.annotations.Nullable;
 
 /** Reports of all VMs on one order. */
 public final class RolloutReports {
 
-  private final Map<String, RolloutReport> latest = new HashMap<>();
+  /** Five intervals of the reports in draining. An older one may be from before a disconnection. */
+  private static final Duration MAX_AGE = Duration.ofSeconds(1);
+
+  private final Map<String, Received> latest = new HashMap<>();
+
+  private record Received(RolloutReport report, Instant at) {}
 
   /**
    * Adds a report.
@@ -16,8 +22,9 @@
    * @param report counts since the VM read the order
    * @return responses that no earlier report contained
    */
-  public Map<EvidenceKey, ResponseCounts> add(RolloutReport report) {
-    RolloutReport before = latest.put(report.node(), report);
+  public Map<EvidenceKey, ResponseCounts> add(RolloutReport report, Instant now) {
+    Received received = latest.put(report.node(), new Received(report, now));
+    RolloutReport before = received == null ? null : received.report();
     if (before == null || before.startedAtMillis() != report.startedAtMillis()) {
       return report.counts();
     }
@@ -35,26 +42,32 @@
    * Returns whether VMs have reported, while they sent all requests to the new version, that
    * nothing runs on replaced servers.
    *
-   * @param nodes VMs that must have reported
+   * @param nodes VMs that must have reported a short time ago
    * @return whether all have
    */
-  public boolean isDrained(Collection<String> nodes) {
+  public boolean isDrained(Collection<String> nodes, Instant now) {
     return nodes.stream()
         .map(latest::get)
-        .allMatch(each -> each != null && hasSwitched(each) && each.oldRuns() == 0);
+        .allMatch(
+            received ->
+                received != null && hasSwitched(received, now) && received.report().oldRuns() == 0);
   }
 
   /**
    * Returns whether VMs have reported that they send all requests to the new version.
    *
-   * @param nodes VMs that must have reported
+   * @param nodes VMs that must have reported a short time ago
    * @return whether all have
    */
-  public boolean hasSwitched(Collection<String> nodes) {
-    return nodes.stream().map(latest::get).allMatch(RolloutReports::hasSwitched);
+  public boolean hasSwitched(Collection<String> nodes, Instant now) {
+    return nodes.stream()
+        .map(latest::get)
+        .allMatch(received -> received != null && hasSwitched(received, now));
   }
 
-  private static boolean hasSwitched(@Nullable RolloutReport report) {
-    return report != null && report.stage().equals(new RolloutStage.Draining().label());
+  /** A VM reports the draining stage only after it has entered it. */
+  private static boolean hasSwitched(Received received, Instant now) {
+    return received.report().stage().equals(new RolloutStage.Draining().label())
+        && !received.at().plus(MAX_AGE).isBefore(now);
   }
 }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PeerReachabilityTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PeerReachabilityTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.time.Instant;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -35,6 +36,16 @@
     assertThat(peers.connectedCount(), is(0));
   }
 
+  /** Guards against a roll-out that completes while a VM in a partition uses old servers. */
+  @Test
+  void a_disconnected_vm_may_serve_requests_for_as_long_as_a_partition_lasts() {
+    peers.recordConnected("vm-2");
+    peers.recordDisconnected("vm-2", at(10));
+
+    assertThat(peers.possiblyPartitioned(at(19)), is(List.of("vm-2")));
+    assertThat(peers.possiblyPartitioned(at(21)), is(List.of()));
+  }
+
   @Test
   void a_vm_loses_its_share_after_the_retention_period() {
     peers.recordConnected("vm-2");
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutPlanTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutPlanTest.java
@@ -144,22 +144,24 @@
   @Test
   void an_order_drains_only_when_every_vm_has_said_so_in_that_stage() {
     RolloutReports reports = new RolloutReports();
-    reports.add(new RolloutReport("vm-1", 1, "plain", 7, "draining", 0, Map.of()));
-    reports.add(new RolloutReport("vm-2", 1, "plain", 7, "shifting", 0, Map.of()));
-    assertThat(reports.isDrained(List.of("vm-1")), is(true));
-    assertThat(reports.isDrained(List.of("vm-1", "vm-2")), is(false));
-    assertThat(reports.isDrained(List.of("vm-1", "vm-3")), is(false));
-    reports.add(new RolloutReport("vm-2", 1, "plain", 7, "draining", 1, Map.of()));
-    assertThat(reports.isDrained(List.of("vm-1", "vm-2")), is(false));
+    reports.add(new RolloutReport("vm-1", 1, "plain", 7, "draining", 0, Map.of()), DEADLINE);
+    reports.add(new RolloutReport("vm-2", 1, "plain", 7, "shifting", 0, Map.of()), DEADLINE);
+    assertThat(reports.isDrained(List.of("vm-1"), DEADLINE), is(true));
+    // A VM may have started runs since an old report.
+    assertThat(reports.isDrained(List.of("vm-1"), DEADLINE.plusSeconds(2)), is(false));
+    assertThat(reports.isDrained(List.of("vm-1", "vm-2"), DEADLINE), is(false));
+    assertThat(reports.isDrained(List.of("vm-1", "vm-3"), DEADLINE), is(false));
+    reports.add(new RolloutReport("vm-2", 1, "plain", 7, "draining", 1, Map.of()), DEADLINE);
+    assertThat(reports.isDrained(List.of("vm-1", "vm-2"), DEADLINE), is(false));
   }
 
   @Test
   void counts_of_a_vm_are_added_once_and_a_restarted_vm_starts_anew() {
     EvidenceKey key = new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", true, "a", "s-1");
     RolloutReports reports = new RolloutReports();
-    reports.add(report(1, key, 5));
-    assertThat(reports.add(report(1, key, 7)).get(key).failures(), is(2));
-    assertThat(reports.add(report(2, key, 1)).get(key).failures(), is(1));
+    reports.add(report(1, key, 5), DEADLINE);
+    assertThat(reports.add(report(1, key, 7), DEADLINE).get(key).failures(), is(2));
+    assertThat(reports.add(report(2, key, 1), DEADLINE).get(key).failures(), is(1));
   }
 
   private static RolloutReport report(long startedAt, EvidenceKey key, int failures) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.FrameReader;
 import org.cactusseam.logic.gateway.LeavingServers;
@@ -271,6 +272,15 @@
       return reachability.sharing(gateway.clock().instant());
     }
 
+    @Override
+    public List<String> awaited() {
+      return Stream.concat(
+              reachability.possiblyPartitioned(gateway.clock().instant()).stream(),
+              connected().stream())
+          .distinct()
+          .toList();
+    }
+
     @Override
     public List<String> connected() {
       return links.entrySet().stream()
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -142,9 +142,8 @@
   }
 
   private List<String> ranked(ServiceRollout rollout, List<String> others) {
-    List<String> all = new ArrayList<>(others);
-    all.add(gateway.settings().node());
-    return CoordinatorRank.candidates(rollout.order().service(), rollout.order().id(), all);
+    return CoordinatorRank.candidates(
+        rollout.order().service(), rollout.order().id(), withSelf(others));
   }
 
   private void report(ServiceRollout rollout, Course course, List<String> candidates, Instant now) {
@@ -182,7 +181,8 @@
   void onReport(RolloutReport report) {
     Course course = course(report.service(), report.orderId());
     if (course.orderId == report.orderId()) {
-      course.test.add(course.reports.add(report), gateway.clock().instant());
+      Instant now = gateway.clock().instant();
+      course.test.add(course.reports.add(report, now), now);
     }
   }
 
@@ -198,8 +198,8 @@
                 rollout.state().get(),
                 new RolloutPlan.Situation(
                     verdict,
-                    course.reports.hasSwitched(reportingNodes()),
-                    course.reports.isDrained(reportingNodes()),
+                    course.reports.hasSwitched(withSelf(peers.connected()), now),
+                    course.reports.isDrained(withSelf(peers.awaited()), now),
                     rollout.order().duration()),
                 now);
     if (next.isEmpty()) {
@@ -244,8 +244,8 @@
             .count();
   }
 
-  private List<String> reportingNodes() {
-    List<String> nodes = new ArrayList<>(peers.connected());
+  private List<String> withSelf(List<String> others) {
+    List<String> nodes = new ArrayList<>(others);
     nodes.add(gateway.settings().node());
     return nodes;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutPeers.java
@@ -9,6 +9,9 @@
   /** Returns the names of the gateways that are connected or were a short time ago. */
   List<String> members();
 
+  /** Returns the names of the gateways that are connected or may serve requests in a partition. */
+  List<String> awaited();
+
   /** Returns the names of the connected gateways. */
   List<String> connected();
 
