Continue streams only on servers that requests may use

A continuation from a copy of a KV cache required only that the holder was usable. It could go to a version that is held back, or to a server that is leaving. Moves, continuations and the check before a move now use one condition.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
@@ -170,7 +170,7 @@
   boolean hasCopyOnLastingServer() {
     return schedule
         .copy()
-        .filter(copy -> isUsable(copy.holder()) && !isLeaving(copy.holder()))
+        .filter(copy -> gateway.rollouts().mayContinueOn(copy.holder()))
         .isPresent();
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -218,6 +218,21 @@
         .orElseGet(() -> usualVersions(service));
   }
 
+  /** Returns whether a run that has started elsewhere may continue on a server. */
+  boolean mayContinueOn(ServerInstance server) {
+    return gateway.servers().isUsable(server)
+        && !gateway.leavingServers().isLeaving(server.id())
+        && (usualVersions(server.service()).accepts(server) || isTriedByMoves(server));
+  }
+
+  /** Runs that were copied in draining continue on the new version within the exposure limit. */
+  private boolean isTriedByMoves(ServerInstance server) {
+    return find(server.service())
+        .filter(rollout -> rollout.isPreparing() && rollout.isNew(server))
+        .filter(rollout -> rollout.canStaySwitched(gateway.vmCount(), gateway.clock().instant()))
+        .isPresent();
+  }
+
   /** Returns the number of requests of this gateway that run on servers that are replaced. */
   int oldRuns(ServiceRollout rollout) {
     return gateway.loads().own().entrySet().stream()
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -191,9 +191,9 @@
 
   private void continueElsewhere(StreamRun run, String reason) {
     // The budget is asked first: a copy that is taken off the list can be used only now.
-    if (kvCopies.hasUsable(gateway.servers()::isUsable)
+    if (kvCopies.hasUsable(gateway.rollouts()::mayContinueOn)
         && tryRetry("retry", run.server(), reason)) {
-      continueFrom(kvCopies.poll(gateway.servers()::isUsable).orElseThrow());
+      continueFrom(kvCopies.poll(gateway.rollouts()::mayContinueOn).orElseThrow());
     } else if (canRunAgain(run) && tryRetry("resumed", run.server(), reason)) {
       sendOrEnqueue();
     } else {
@@ -302,8 +302,8 @@
     current = null;
     excluded.add(run.server().id());
     run.handOver();
-    if (kvCopies.hasUsable(gateway.servers()::isUsable)) {
-      continueFrom(kvCopies.poll(gateway.servers()::isUsable).orElseThrow());
+    if (kvCopies.hasUsable(gateway.rollouts()::mayContinueOn)) {
+      continueFrom(kvCopies.poll(gateway.rollouts()::mayContinueOn).orElseThrow());
     } else {
       sendOrEnqueue();
     }
