Use a barred version when no other version is listed

After an order was reverted, or removed before its end, a plain release of its version left the service without servers: the version stayed barred although the others were gone.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceVersions.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceVersions.java
@@ -30,6 +30,7 @@
   private final Map<String, Instant> lastSeen = new HashMap<>();
   private final Set<String> proven = new HashSet<>();
   private final Set<String> barred = new HashSet<>();
+  private Set<String> listed = Set.of();
   private Optional<Instant> settledAt = Optional.empty();
 
   /**
@@ -53,7 +54,7 @@
     if (settledAt.isEmpty()) {
       settledAt = Optional.of(now.plus(holdTime));
     }
-    Set<String> listed = servers.stream().map(ServerInstance::version).collect(Collectors.toSet());
+    listed = servers.stream().map(ServerInstance::version).collect(Collectors.toSet());
     listed.forEach(version -> firstSeen.putIfAbsent(version, now));
     listed.forEach(version -> lastSeen.put(version, now));
     forgetAbsent(now);
@@ -128,11 +129,15 @@
   }
 
   /**
-   * Returns the versions that requests may use without an order.
+   * Returns the versions that requests may use without an unfinished order.
    *
-   * @return filter
+   * @return filter; a barred version is allowed if no other one is listed, because the service would
+   *     otherwise have no servers
    */
   public VersionFilter withoutOrder() {
-    return VersionFilter.only(proven);
+    return VersionFilter.only(
+        proven.stream().noneMatch(listed::contains) && barred.containsAll(listed)
+            ? listed
+            : proven);
   }
 }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -161,6 +161,20 @@
     assertThat(versions(), contains(V1));
   }
 
+  /** Guards against a service without servers after a plain release of a barred version. */
+  @Test
+  void a_barred_version_is_used_when_no_other_is_listed() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    RolloutState state = startOrder("v2", 7, HOLD);
+    enter(state, new RolloutStage.Reverted());
+    assertThat(versions(), contains(V1));
+    list(HOLD.multipliedBy(2), "v2");
+    assertThat(versions(), contains(V2));
+    list(HOLD.multipliedBy(3), "v1", "v2");
+    assertThat(versions(), contains(V1));
+  }
+
   @Test
   void a_second_order_bars_the_version_of_the_first() {
     list(Duration.ZERO, "v1");
