Wait for a known stage after a restart

A process that starts during an order used its version when the entry of one of its servers arrived first. The version is now used only if no other one is listed after settling. The first stage of an order that may be older than the process is written a second after the order was read, and a candidate answers a report without a stage with the one that it knows, because the store may have forgotten it.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/RolloutTable.java
@@ -59,8 +59,9 @@
     double fraction =
         (CoordinatorRank.hash(order.service(), order.id(), node) >>> 1) / (double) Long.MAX_VALUE;
     ServiceVersions ofService = versions(order.service());
-    ExposureLimit exposure = new ExposureLimit(settings, ofService.isSettled(now), fraction);
-    ServiceRollout rollout = new ServiceRollout(order, now, exposure);
+    boolean isSettled = ofService.isSettled(now);
+    ExposureLimit exposure = new ExposureLimit(settings, isSettled, fraction);
+    ServiceRollout rollout = new ServiceRollout(order, now, exposure, !isSettled);
     rollouts.put(order.service(), rollout);
     barUnlessRestoring(rollout, now);
     RolloutState state = unclaimed.get(order.service());
@@ -172,7 +173,9 @@
    */
   public Optional<RolloutState> initialState(ServiceRollout rollout, Instant now) {
     ServiceVersions ofService = versions(rollout.order().service());
-    return ofService.isSettled(now) && !ofService.proven().isEmpty()
+    return ofService.isSettled(now)
+            && !ofService.proven().isEmpty()
+            && rollout.hasAwaitedLaterStage(now)
         ? Optional.of(rollout.initialState(ofService.proven()))
         : Optional.empty();
   }
@@ -192,7 +195,7 @@
     }
     Optional<RolloutState> state = rollout.state();
     if (state.isEmpty()) {
-      return List.of(new Choice(withoutOrderOf(rollout), false));
+      return List.of(new Choice(withoutOrderOf(rollout, now), false));
     }
     Choice old = new Choice(state.get().oldVersions(), false);
     Choice tried = new Choice(state.get().newVersion(), false);
@@ -221,7 +224,10 @@
     return isFirst && !rollout.isHeld() && rollout.exposure().hasCapacity(rollout.phase(now), vms);
   }
 
-  private VersionFilter withoutOrderOf(ServiceRollout rollout) {
+  private VersionFilter withoutOrderOf(ServiceRollout rollout, Instant now) {
+    if (rollout.mayBeOlderThanProcess()) {
+      return versions(rollout.order().service()).duringUnknownStage(rollout.order().version(), now);
+    }
     Set<String> proven = versions(rollout.order().service()).proven();
     Set<String> others = new HashSet<>(proven);
     others.remove(rollout.order().version());
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
@@ -13,7 +13,11 @@
   /** An order is read this long after the store has accepted it, unless the store is slow. */
   private static final Duration READ_DELAY = Duration.ofMillis(400);
 
+  /** Peers answer a report without a stage, which is sent once a second, with the one they know. */
+  private static final Duration LATER_STAGE_TIME = Duration.ofSeconds(1);
+
   private final RolloutOrder order;
+  private final boolean mayBeOlderThanProcess;
   private final Instant readAt;
   private final ExposureLimit exposure;
   private final RolloutEvidence evidence = new RolloutEvidence();
@@ -21,8 +25,15 @@
   private Optional<String> holdReason = Optional.empty();
   private boolean switched;
 
-  ServiceRollout(RolloutOrder order, Instant readAt, ExposureLimit exposure) {
+  /**
+   * Creates an order without a known stage.
+   *
+   * @param mayBeOlderThanProcess whether another process may have written a stage already
+   */
+  ServiceRollout(
+      RolloutOrder order, Instant readAt, ExposureLimit exposure, boolean mayBeOlderThanProcess) {
     this.order = order;
+    this.mayBeOlderThanProcess = mayBeOlderThanProcess;
     this.readAt = readAt;
     this.exposure = exposure;
   }
@@ -182,6 +193,15 @@
         .orElse("");
   }
 
+  boolean mayBeOlderThanProcess() {
+    return mayBeOlderThanProcess;
+  }
+
+  /** Returns whether peers had time to state a later stage, which the store may have forgotten. */
+  boolean hasAwaitedLaterStage(Instant now) {
+    return !mayBeOlderThanProcess || !readAt.plus(LATER_STAGE_TIME).isAfter(now);
+  }
+
   boolean isHeld() {
     return holdReason.isPresent();
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceVersions.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceVersions.java
@@ -108,6 +108,24 @@
     return Set.copyOf(proven);
   }
 
+  /**
+   * Returns the versions that requests may use while the stage of an order is unknown that may be
+   * older than this process.
+   *
+   * @param ordered version that the order names
+   * @return other versions that are listed; the named one if there are still none after settling
+   */
+  public VersionFilter duringUnknownStage(String ordered, Instant now) {
+    Set<String> others = new HashSet<>(listed);
+    others.remove(ordered);
+    others.removeAll(barred);
+    boolean isOnlyVersion = listed.equals(Set.of(ordered));
+    if (others.isEmpty() && (isSettled(now) || !isOnlyVersion)) {
+      return withoutOrder();
+    }
+    return VersionFilter.only(others);
+  }
+
   /**
    * Bars a version until an order to it completes.
    *
@@ -131,8 +149,8 @@
   /**
    * Returns the versions that requests may use without an unfinished order.
    *
-   * @return filter; a barred version is allowed if no other one is listed, because the service would
-   *     otherwise have no servers
+   * @return filter; a barred version is allowed if no other one is listed, because the service
+   *     would otherwise have no servers
    */
   public VersionFilter withoutOrder() {
     return VersionFilter.only(
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.cactusseam.model.gateway.RolloutOrder;
 import org.cactusseam.model.gateway.RolloutSettings;
@@ -175,6 +176,26 @@
     assertThat(versions(), contains(V1));
   }
 
+  /** Guards against requests to a version whose order another process may have reverted. */
+  @Test
+  void after_a_restart_the_version_of_an_order_waits_for_the_stage() {
+    table.onOrder(order("v2", 7), START);
+    table.update("plain", List.of(server("s-2", 1, "v2")), START);
+    assertThat(versions(), contains(VersionFilter.only(Set.of())));
+    table.update("plain", List.of(server("s-2", 1, "v2"), server("s-1", 9, "v1")), START);
+    assertThat(versions(), contains(V1));
+    ServiceRollout rollout = table.find("plain").orElseThrow();
+    assertThat(table.initialState(rollout, START.plusMillis(900)), is(Optional.empty()));
+  }
+
+  @Test
+  void after_a_restart_the_version_of_an_order_is_used_if_it_stays_the_only_one() {
+    table.onOrder(order("v2", 7), START);
+    table.update("plain", List.of(server("s-2", 1, "v2")), START);
+    table.update("plain", List.of(server("s-2", 1, "v2")), START.plus(HOLD));
+    assertThat(table.choices("plain", true, 1, START.plus(HOLD)).getFirst().versions(), is(V2));
+  }
+
   @Test
   void a_second_order_bars_the_version_of_the_first() {
     list(Duration.ZERO, "v1");
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -179,6 +179,7 @@
   }
 
   void onReport(RolloutReport report) {
+    tellStage(report);
     Course course = course(report.service(), report.orderId());
     if (course.orderId == report.orderId()) {
       Instant now = gateway.clock().instant();
@@ -186,6 +187,16 @@
     }
   }
 
+  /** Sends the stage to a gateway that has started during the order, or cannot read the store. */
+  private void tellStage(RolloutReport report) {
+    if (report.stage().isEmpty() && !report.node().equals(gateway.settings().node())) {
+      rollouts
+          .state(report.service(), report.orderId())
+          .ifPresent(
+              state -> peers.send(List.of(report.node()), new GatewayMessage.RolloutUpdate(state)));
+    }
+  }
+
   private void decide(
       RolloutTable table, ServiceRollout rollout, Course course, int rank, Instant now) {
     String service = rollout.order().service();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -258,6 +258,11 @@
     return table.flatMap(known -> known.find(service));
   }
 
+  /** Returns the known state of an order. */
+  Optional<RolloutState> state(String service, long orderId) {
+    return find(service).flatMap(ServiceRollout::state).filter(state -> state.orderId() == orderId);
+  }
+
   /** Counts a request that is sent to a server. */
   void recordSent(ServerInstance server) {
     find(server.service())
