Count requests for the exposure share when they are sent

A request counts at its first send and only until the deadline, as in the bound; requests that are refused do not reach the service. The allowance is divided by the largest number of VMs since the order, since a VM that is gone may have used its share.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ExposureLimit.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ExposureLimit.java
@@ -37,6 +37,7 @@
   private final RolloutSettings settings;
   private final boolean hasAllowance;
   private final double fraction;
+  private int largestVmCount = 1;
   private long requests;
   private long sent;
 
@@ -112,7 +113,9 @@
   }
 
   private double limit(Phase phase, int vms) {
-    double allowance = hasAllowance ? settings.exposureAllowance() / Math.max(1, vms) : 0;
+    // A VM that is no longer counted may have used its share of the allowance.
+    largestVmCount = Math.max(largestVmCount, vms);
+    double allowance = hasAllowance ? settings.exposureAllowance() / largestVmCount : 0;
     double share = settings.exposureShare() * requests;
     double full = USED_FRACTION * (share + allowance);
     return switch (phase) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
@@ -164,6 +164,13 @@
         .orElse(0L);
   }
 
+  /** Counts a request that is sent for the first time, if the bound counts it. */
+  public void recordRequest(Instant now) {
+    if (readAt.plus(order.duration()).isAfter(now)) {
+      exposure.recordRequest();
+    }
+  }
+
   /** Returns the part of the exposure limit that applies, given that the stage is not final. */
   ExposureLimit.Phase phase(Instant now) {
     if (state.filter(known -> known.stage() instanceof RolloutStage.Canary).isPresent()) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -196,6 +196,29 @@
     assertThat(table.choices("plain", true, 1, START.plus(HOLD)).getFirst().versions(), is(V2));
   }
 
+  /** Guards against a limit that grows by requests that the bound does not count. */
+  @Test
+  void requests_after_the_deadline_do_not_count() {
+    list(Duration.ZERO, "v1");
+    list(HOLD, "v1", "v2");
+    startOrder("v2", 7, HOLD);
+    ServiceRollout rollout = table.find("plain").orElseThrow();
+    for (int request = 0; request < 1_000; request++) {
+      rollout.recordRequest(START.plus(HOLD).plusSeconds(13));
+    }
+    assertThat(rollout.exposure().hasCapacity(new ExposureLimit.Phase.Canary(1), 1), is(false));
+  }
+
+  /** Guards against an allowance that grows when VMs that have used their share are gone. */
+  @Test
+  void the_allowance_is_divided_by_the_largest_number_of_vms() {
+    ExposureLimit limit =
+        new ExposureLimit(new RolloutSettings(0, 50, Duration.ofSeconds(5)), true, 0);
+    limit.recordRequest();
+    assertThat(limit.hasCapacity(new ExposureLimit.Phase.Full(), 1_000), is(false));
+    assertThat(limit.hasCapacity(new ExposureLimit.Phase.Full(), 1), is(false));
+  }
+
   @Test
   void a_second_order_bars_the_version_of_the_first() {
     list(Duration.ZERO, "v1");
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -120,7 +120,6 @@
   final void start() {
     gateway.add(this);
     gateway.retryBudget(service.name()).request(gateway.clock().instant());
-    gateway.rollouts().recordRequest(service.name());
     incoming.response().closeHandler(closed -> onCallerDisconnected());
     incoming.response().exceptionHandler(cause -> onCallerDisconnected());
     deadlineTimer =
@@ -339,7 +338,7 @@
       gateway.retryBudget(service.name()).recordSent(gateway.clock().instant());
     }
     gateway.serverSelector().recordSent(server);
-    gateway.rollouts().recordSent(server);
+    gateway.rollouts().recordSent(server, sends == 1);
     log.info(
         "sent",
         field("route", route.name()),
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -249,11 +249,6 @@
         .sum();
   }
 
-  /** Counts a request of a caller. */
-  void recordRequest(String service) {
-    find(service).ifPresent(rollout -> rollout.exposure().recordRequest());
-  }
-
   private Optional<ServiceRollout> find(String service) {
     return table.flatMap(known -> known.find(service));
   }
@@ -263,9 +258,17 @@
     return find(service).flatMap(ServiceRollout::state).filter(state -> state.orderId() == orderId);
   }
 
-  /** Counts a request that is sent to a server. */
-  void recordSent(ServerInstance server) {
-    find(server.service())
+  /**
+   * Counts a request that is sent to a server.
+   *
+   * @param isFirst whether it has not been sent before
+   */
+  void recordSent(ServerInstance server, boolean isFirst) {
+    Optional<ServiceRollout> known = find(server.service());
+    if (isFirst) {
+      known.ifPresent(rollout -> rollout.recordRequest(gateway.clock().instant()));
+    }
+    known
         .filter(rollout -> rollout.isNew(server))
         .ifPresent(rollout -> rollout.exposure().recordSent());
   }
