Rank the candidates of an order only when the VMs change

The VMs were ranked twice on each tick of 50 ms for each order, including those that had ended. Reports of an order are dropped at its final stage.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -53,8 +53,11 @@
   /** Progress of one order, as this gateway sees it. */
   private static final class Course {
     private final long orderId;
-    private final RolloutReports reports = new RolloutReports();
-    private final VersionTest test = new VersionTest();
+    private RolloutReports reports = new RolloutReports();
+    private VersionTest test = new VersionTest();
+    private @Nullable Set<String> members;
+    private @Nullable Set<String> connected;
+    private List<String> candidates = List.of();
     private Instant reportedAt = Instant.MIN;
     private boolean hasReportedDrained;
     private @Nullable RolloutStage dueStage;
@@ -69,10 +72,21 @@
     private @Nullable RolloutState announced;
     private Instant announcedAt = Instant.MIN;
     private boolean hasWrittenStage;
+    private boolean isEnded;
 
     Course(long orderId) {
       this.orderId = orderId;
     }
+
+    /** Drops what only a stage that is not final needs. */
+    void dropReports() {
+      if (isEnded) {
+        return;
+      }
+      isEnded = true;
+      reports = new RolloutReports();
+      test = new VersionTest();
+    }
   }
 
   RolloutCoordinator(Gateway gateway, RolloutPeers peers, RolloutStore store, Instant startedAt) {
@@ -94,8 +108,10 @@
       // Another gateway has already reported on a later order, which is read soon.
       return;
     }
-    List<String> candidates = candidates(rollout);
-    if (rollout.state().filter(state -> state.stage().isFinal()).isEmpty()) {
+    List<String> candidates = candidates(rollout, course);
+    if (isFinal(rollout)) {
+      course.dropReports();
+    } else {
       report(rollout, course, candidates, now);
     }
     int rank = candidates.indexOf(gateway.settings().node());
@@ -122,6 +138,10 @@
     peers.send(peers.connected(), new GatewayMessage.RolloutUpdate(course.announced));
   }
 
+  private static boolean isFinal(ServiceRollout rollout) {
+    return rollout.state().filter(state -> state.stage().isFinal()).isPresent();
+  }
+
   private Course course(String service, long orderId) {
     Course known = courses.get(service);
     if (known == null || known.orderId < orderId) {
@@ -133,12 +153,19 @@
 
   /**
    * Returns the first gateways of the ranking, and then the first of those that are connected, in
-   * case none of the former is.
+   * case none of the former is. They are ranked only when the gateways change.
    */
-  private List<String> candidates(ServiceRollout rollout) {
-    Set<String> candidates = new LinkedHashSet<>(ranked(rollout, peers.members()));
-    candidates.addAll(ranked(rollout, peers.connected()));
-    return List.copyOf(candidates);
+  private List<String> candidates(ServiceRollout rollout, Course course) {
+    Set<String> members = Set.copyOf(peers.members());
+    Set<String> connected = Set.copyOf(peers.connected());
+    if (!members.equals(course.members) || !connected.equals(course.connected)) {
+      course.members = members;
+      course.connected = connected;
+      Set<String> candidates = new LinkedHashSet<>(ranked(rollout, List.copyOf(members)));
+      candidates.addAll(ranked(rollout, List.copyOf(connected)));
+      course.candidates = List.copyOf(candidates);
+    }
+    return course.candidates;
   }
 
   private List<String> ranked(ServiceRollout rollout, List<String> others) {
@@ -181,7 +208,12 @@
   void onReport(RolloutReport report) {
     tellStage(report);
     Course course = course(report.service(), report.orderId());
-    if (course.orderId == report.orderId()) {
+    boolean isEnded =
+        rollouts
+            .state(report.service(), report.orderId())
+            .filter(state -> state.stage().isFinal())
+            .isPresent();
+    if (course.orderId == report.orderId() && !isEnded) {
       Instant now = gateway.clock().instant();
       course.test.add(course.reports.add(report, now), now);
     }
