--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -20,6 +22,9 @@
    */
   private static final Duration SHARE_RETENTION = Duration.ofSeconds(60);
 
+  /** A VM that is unreachable for longer has ended, because partitions last up to 9 s. */
+  private static final Duration MAX_PARTITION = Duration.ofSeconds(10);
+
   private final Set<String> connected = new HashSet<>();
   private final Map<String, Instant> unreachableSince = new HashMap<>();
   private boolean hasLostPeer;
@@ -72,10 +77,35 @@
    * @return number of connected peers and of those that became unreachable less than 60 s ago
    */
   public int sharingCount(Instant now) {
-    long recentlyUnreachable =
-        unreachableSince.values().stream()
-            .filter(at -> at.plus(SHARE_RETENTION).isAfter(now))
-            .count();
-    return connected.size() + (int) recentlyUnreachable;
+    return sharing(now).size();
+  }
+
+  /**
+   * Returns the names of the peers that have a share of the common limits.
+   *
+   * @return connected peers and those that became unreachable less than 60 s ago
+   */
+  public List<String> sharing(Instant now) {
+    return reachableWithin(SHARE_RETENTION, now);
+  }
+
+  /**
+   * Returns the names of the peers that may serve requests although they are unreachable.
+   *
+   * @return connected peers and those that became unreachable less than 10 s ago
+   */
+  public List<String> possiblyPartitioned(Instant now) {
+    return reachableWithin(MAX_PARTITION, now);
+  }
+
+  private List<String> reachableWithin(Duration time, Instant now) {
+    List<String> nodes = new ArrayList<>(connected);
+    unreachableSince.forEach(
+        (node, at) -> {
+          if (at.plus(time).isAfter(now)) {
+            nodes.add(node);
+          }
+        });
+    return nodes;
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerSelector.java
@@ -13,6 +13,7 @@
 import org.cactusseam.model.gateway.EngineCapabilities;
 import org.cactusseam.model.gateway.GatewayService;
 import org.cactusseam.model.gateway.ServerInstance;
+import org.cactusseam.model.gateway.VersionFilter;
 
 /**
  * Chooses the backend server of a request by estimated cost. Handles three load patterns: bursts of
@@ -146,6 +147,7 @@
    * @param spread seed that differs between requests, so that simultaneous choices are spread over
    *     servers
    * @param route name of the route; empty if the duration of the request is of no known route
+   * @param versions versions of servers that may be chosen
    */
   public record Requirements(
       GatewayService service,
@@ -153,7 +155,8 @@
       int tokens,
       Set<String> excluded,
       int spread,
-      String route) {
+      String route,
+      VersionFilter versions) {
 
     /** Copies the collections. */
     public Requirements {
@@ -161,10 +164,10 @@
       excluded = Set.copyOf(excluded);
     }
 
-    /** Creates the requirements of a request of no known route. */
+    /** Creates the requirements of a request of no known route that allow every version. */
     public Requirements(
         GatewayService service, Set<String> regions, int tokens, Set<String> excluded, int spread) {
-      this(service, regions, tokens, excluded, spread, "");
+      this(service, regions, tokens, excluded, spread, "", VersionFilter.ANY);
     }
 
     /**
@@ -174,9 +177,20 @@
      * @return requirements that exclude both
      */
     public Requirements excluding(Set<String> more) {
-      Set<String> all = new HashSet<>(excluded);
-      all.addAll(more);
-      return new Requirements(service, regions, tokens, all, spread, route);
+      return withServers(versions, more);
+    }
+
+    /**
+     * Returns these requirements with other servers.
+     *
+     * @param allowed versions that may be chosen
+     * @param furtherExcluded identifiers of further servers that must not be chosen
+     * @return changed copy
+     */
+    public Requirements withServers(VersionFilter allowed, Set<String> furtherExcluded) {
+      Set<String> allExcluded = new HashSet<>(excluded);
+      allExcluded.addAll(furtherExcluded);
+      return new Requirements(service, regions, tokens, allExcluded, spread, route, allowed);
     }
   }
 
@@ -357,6 +371,7 @@
   private boolean isAllowed(Requirements requirements, ServerInstance server) {
     return !requirements.excluded().contains(server.id())
         && !leavingServers.isLeaving(server.id())
+        && requirements.versions().accepts(server)
         && (requirements.regions().isEmpty()
             || vmLocation
                 .regionOf(server.failureDomain())
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PaceReplay.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/PaceReplay.java
@@ -17,6 +17,7 @@
 import org.cactusseam.logic.replay.PausedClock;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.gateway.ServerPace;
+import org.cactusseam.model.gateway.VersionFilter;
 
 /**
  * Simulates plain requests of many VMs at servers whose pace varies, in steps of 1 ms. Servers have
@@ -140,7 +141,13 @@
     boolean tryStart(Run run) {
       ServerSelector.Requirements requirements =
           new ServerSelector.Requirements(
-              GatewayFixtures.PLAIN, Set.of(), 0, Set.of(), random.nextInt(), run.route);
+              GatewayFixtures.PLAIN,
+              Set.of(),
+              0,
+              Set.of(),
+              random.nextInt(),
+              run.route,
+              VersionFilter.ANY);
       Optional<ServerInstance> chosen = selector.choose(requirements);
       chosen.ifPresent(
           server -> {
@@ -210,7 +217,7 @@
     for (Server server : servers) {
       table.put(
           new ServerInstance(
-              server.id, 1, "plain", "127.0.0.1", 8_000, "d", SLOTS, false, Duration.ZERO),
+              server.id, 1, "plain", "127.0.0.1", 8_000, "d", SLOTS, false, Duration.ZERO, "v1"),
           Instant.EPOCH.minusSeconds(60));
     }
     vms =
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
@@ -76,7 +76,7 @@
 
   private static ServerInstance server(String id, String domain) {
     return new ServerInstance(
-        id, 1, SERVICE.name(), "127.0.0.1", 8_000, domain, SLOTS, false, Duration.ZERO);
+        id, 1, SERVICE.name(), "127.0.0.1", 8_000, domain, SLOTS, false, Duration.ZERO, "v1");
   }
 
   private static SharedRetryBudget budget(double allowance) {
@@ -229,7 +229,8 @@
               server.failureDomain(),
               0,
               false,
-              Duration.ZERO),
+              Duration.ZERO,
+              "v1"),
           Instant.EPOCH.minusSeconds(60));
       for (int run = 0; run < 80; run++) {
         loads.addRun(server.id(), 0);
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgingSimulation.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgingSimulation.java
@@ -167,7 +167,8 @@
               domain,
               scenario.slots(),
               false,
-              Duration.ZERO);
+              Duration.ZERO,
+              "v1");
       servers.put(server, Instant.EPOCH.minusSeconds(60));
       instances.add(server);
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -325,6 +325,7 @@
       boolean isRefusalOfOne = isHedged && ServerReply.isRefusal(status);
       if (status >= 500 || isRefusalOfOne) {
         gateway.health().recordFailure(server.id());
+        recordOutcome(isRefusalOfOne ? Rollouts.Outcome.ABORTED : Rollouts.Outcome.FAILURE);
         if (!isRefusalOfOne) {
           failure = complete;
         }
@@ -332,6 +333,7 @@
         return;
       }
       gateway.health().recordSuccess(server.id());
+      recordOutcome(Rollouts.Outcome.SUCCESS);
       if (complete.reply().isSuccess() && connectedAt != null) {
         gateway.recordDuration(server, route, connectedAt, complete.reply().paceOfServer());
       }
@@ -348,6 +350,7 @@
         return;
       }
       gateway.health().recordUnreachable(server.id(), gateway.clock().instant());
+      recordOutcome(Rollouts.Outcome.FAILURE);
       log.info("unreachable", field("server", server.id()), field("reason", reason));
       if (!released) {
         release();
@@ -362,6 +365,7 @@
       release();
       abortConnection();
       gateway.health().recordFailure(server.id());
+      recordOutcome(Rollouts.Outcome.FAILURE);
       log.info("broken", field("server", server.id()), field("reason", reason));
       recordUnanswered(server, headReceived)
           .onComplete(
@@ -392,6 +396,7 @@
       release();
       abortConnection();
       gateway.health().recordFailure(server.id());
+      recordOutcome(Rollouts.Outcome.FAILURE);
       log.info("broken", field("server", server.id()), field("reason", "silent"));
       retryOrFail(this, "the server is silent");
     }
@@ -413,8 +418,13 @@
       abort();
     }
 
+    private void recordOutcome(Rollouts.Outcome outcome) {
+      gateway.rollouts().recordOutcome(route, server, outcome, sentAt);
+    }
+
     void abort() {
       if (!released) {
+        recordOutcome(Rollouts.Outcome.ABORTED);
         release();
         abortConnection();
       }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -205,7 +205,7 @@
     if (finished) {
       return true;
     }
-    Optional<ServerInstance> server = gateway.serverSelector().choose(requirements());
+    Optional<ServerInstance> server = gateway.rollouts().choose(requirements(), sends == 0);
     if (server.isEmpty()) {
       return false;
     }
@@ -234,7 +234,8 @@
         expectedTokens(),
         excluded,
         head.attemptId().hashCode(),
-        route.name());
+        route.name(),
+        gateway.rollouts().usualVersions(service.name()));
   }
 
   private Set<String> allowedRegions() {
@@ -338,6 +339,7 @@
       gateway.retryBudget(service.name()).recordSent(gateway.clock().instant());
     }
     gateway.serverSelector().recordSent(server);
+    gateway.rollouts().recordSent(server, sends == 1);
     log.info(
         "sent",
         field("route", route.name()),
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -61,6 +61,7 @@
   private final LeavingServers leavingServers = new LeavingServers();
   private final EngineReports reports = new EngineReports();
   private final ServerSelector serverSelector;
+  private final Rollouts rollouts;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
@@ -123,6 +124,7 @@
                 startedAt,
                 servers,
                 serverSelector));
+    this.rollouts = new Rollouts(this);
     setVmCount(1);
   }
 
@@ -286,6 +288,10 @@
     return serverSelector;
   }
 
+  Rollouts rollouts() {
+    return rollouts;
+  }
+
   GatewayMetrics metrics() {
     return metrics;
   }
@@ -320,10 +326,6 @@
         : routes.service(service).filter(serverSelector::isPaced).isPresent();
   }
 
-  int vmCount() {
-    return vmCount;
-  }
-
   RequestQueue<Exchange> queue(String service) {
     return queues.computeIfAbsent(service, name -> new RequestQueue<>());
   }
@@ -380,6 +382,11 @@
     quarantine.setGatewayCount(vmCount);
   }
 
+  /** Returns the number of gateways over which limits are divided, this one included. */
+  int vmCount() {
+    return vmCount;
+  }
+
   boolean isDraining() {
     return drainingSince.isPresent();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
@@ -47,7 +47,8 @@
 
   @Override
   public boolean isLeaving(ServerInstance engine) {
-    return gateway.leavingServers().isLeaving(engine.id());
+    return gateway.leavingServers().isLeaving(engine.id())
+        || gateway.rollouts().isToBeReplaced(engine);
   }
 
   @Override
@@ -63,7 +64,9 @@
                     requirements.regions(),
                     currentTokens(),
                     allExcluded,
-                    requirements.spread()),
+                    requirements.spread(),
+                    requirements.route(),
+                    gateway.rollouts().copyTargets(source.service())),
                 source);
     if (target.isEmpty()) {
       logMissingTarget(gateway.clock().instant());
@@ -164,6 +167,14 @@
     return schedule.copy().filter(copy -> isUsable(copy.holder())).isPresent();
   }
 
+  /** Returns whether there is a copy on a server that no roll-out replaces. */
+  boolean hasCopyOnLastingServer() {
+    return schedule
+        .copy()
+        .filter(copy -> gateway.rollouts().mayContinueOn(copy.holder()))
+        .isPresent();
+  }
+
   /** Returns the complete copy of the run, empty without one. */
   Optional<Copy> copy() {
     return schedule
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -13,6 +13,11 @@
 import org.cactusseam.edge.peer.PeerCodec;
 import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.logic.gateway.ServerPaces;
+import org.cactusseam.logic.rollout.EvidenceKey;
+import org.cactusseam.logic.rollout.ResponseCounts;
+import org.cactusseam.logic.rollout.RolloutReport;
+import org.cactusseam.logic.rollout.RolloutStage;
+import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.gateway.ServerPace;
@@ -57,6 +62,21 @@
         new GatewayMessage.RecordUpdate(new StoreRecord("topic", "key", 7, Optional.empty())),
         new GatewayMessage.ServerDeparture("e-1", 1_774_656_687_601L),
         new GatewayMessage.QuarantineUpdate("vm-1", SUSPICIONS),
+        new GatewayMessage.RolloutEvidence(
+            new RolloutReport(
+                "vm-1",
+                1_774_656_687_601L,
+                "plain",
+                7,
+                "canary",
+                3,
+                Map.of(
+                    new EvidenceKey(EvidenceKey.Measure.EVENTS, "letters", true, "a", "e-1"),
+                    new ResponseCounts(4, 1, List.of(0, 3, 2))))),
+        new GatewayMessage.RolloutUpdate(
+            new RolloutState(
+                "plain", 7, "v2", Set.of("v1"), 9_000, new RolloutStage.Draining(), "good")),
+        new GatewayMessage.RolloutHold("plain", 7, "failures"),
         new GatewayMessage.LoadsAck());
   }
 
