Write the status of an order right after its stage

The pause of 0.25 s after a failed write was also made after a successful one. With the later switch in draining, a good version completed 0.07 s after the deadline in one run of RolloutServingTest.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RolloutCoordinator.java
@@ -303,11 +303,15 @@
               rollouts.onState(stored);
             })
         .onFailure(cause -> logFailure("rollout_stage_not_written", next, rank, cause))
-        .onComplete(
-            ignored -> {
-              course.isWriting = false;
-              course.nextWriteAt = gateway.clock().instant().plus(WRITE_INTERVAL);
-            });
+        .onComplete(written -> onWriteEnded(course, written.succeeded()));
+  }
+
+  /** The status follows a stage at once, so that the order completes before its deadline. */
+  private void onWriteEnded(Course course, boolean isWritten) {
+    course.isWriting = false;
+    if (!isWritten) {
+      course.nextWriteAt = gateway.clock().instant().plus(WRITE_INTERVAL);
+    }
   }
 
   private void confirmStatus(ServiceRollout rollout, Course course, int rank, Instant now) {
@@ -330,11 +334,7 @@
         .writeStatus(state)
         .onSuccess(written -> onStatusWritten(course, state))
         .onFailure(cause -> logFailure("rollout_status_not_written", state, rank, cause))
-        .onComplete(
-            ignored -> {
-              course.isWriting = false;
-              course.nextWriteAt = gateway.clock().instant().plus(WRITE_INTERVAL);
-            });
+        .onComplete(written -> onWriteEnded(course, written.succeeded()));
   }
 
   private static void onStatusWritten(Course course, RolloutState state) {
