Keep responses of callers whose next request finds no memory

The start of a body that arrived with its head was charged 32-fold as a head, and stayed so until the response ended. The reservation now shrinks to the head when the request is delivered. A pipelined request without memory closed the connection, which cut off the response before it; reading now stays stopped until that response has been sent.

A connection is idle only if it has no open request, none that waits for the caller to read, and nothing unsent. Before, eviction and the limit on head time could close it in the middle of a response.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/memory/MemoryBudget.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/memory/MemoryBudget.java
@@ -125,6 +125,9 @@
   }
 
   private boolean fits(Holding holding, long bytes) {
+    if (bytes <= holding.bytes) {
+      return true;
+    }
     if (heldBytes - holding.bytes + bytes > limits.totalBytes()) {
       return false;
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BodyReader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BodyReader.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,6 +23,12 @@
   /** First reservation for a body without an announced length. */
   private static final int FIRST_BODY_BYTES = 4 << 10;
 
+  /** Method, protocol version, separators and the empty line after the head. */
+  private static final int REQUEST_LINE_BYTES = 20;
+
+  /** Separators of a header line. */
+  private static final int HEADER_LINE_BYTES = 4;
+
   private static final int HASHED_PART_BYTES = 16 << 10;
 
   /** Outcome of reading a body. */
@@ -82,6 +89,20 @@
     }
   }
 
+  /** Returns the size of the head of the request in bytes. */
+  long headBytes() {
+    long bytes = REQUEST_LINE_BYTES + request.uri().length();
+    for (Map.Entry<String, String> header : request.headers()) {
+      bytes += header.getKey().length() + header.getValue().length() + HEADER_LINE_BYTES;
+    }
+    return bytes;
+  }
+
+  /** Returns the announced length of the body, zero if none is announced. */
+  long announcedBodyBytes() {
+    return Math.max(0, announcedBytes);
+  }
+
   /** Reads the body. Fails if the connection is closed before the end of the body. */
   Future<Result> read() {
     request.handler(this::append);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
@@ -45,7 +45,9 @@
   private long receivedAtLastRead;
   private long lastReadBytes;
   private boolean isWaiting;
+  private boolean isRefused;
   private long headBytes;
+  private long deliveredHeadBytes;
   private @Nullable Instant headSince;
   private Instant idleSince;
 
@@ -79,8 +81,13 @@
     return address;
   }
 
+  private boolean hasOpenRequest() {
+    return openRequests > 0;
+  }
+
+  /** Returns whether nothing is lost for the caller if the connection is closed. */
   boolean isIdle() {
-    return openRequests == 0;
+    return !hasOpenRequest() && !meter.isAwaitingWritable() && meter.unsent() == 0;
   }
 
   Instant idleSince() {
@@ -105,6 +112,8 @@
       return false;
     }
     if (isReadingBody()) {
+      // What was read before has been added to the body.
+      shrinkHead(deliveredHeadBytes);
       return true;
     }
     headBytes += lastReadBytes;
@@ -120,7 +129,22 @@
 
   @Override
   public void onRefused() {
-    closer.accept(this, "memory");
+    if (hasOpenRequest() || meter.unsent() > 0) {
+      // A close would cut off the response before the request that does not fit.
+      isRefused = true;
+    } else {
+      closer.accept(this, "memory");
+    }
+  }
+
+  /** Reserves again what was refused while a response was open. */
+  void retryRefused() {
+    if (isRefused && !hasOpenRequest() && meter.unsent() == 0) {
+      isRefused = false;
+      if (memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE)) {
+        onGranted();
+      }
+    }
   }
 
   void recordRequestStart(BodyReader newReader, Instant now) {
@@ -129,11 +153,22 @@
     reader = newReader;
     newReader.whenEnded(this::recordBodyEnd);
     bodyProgress.restart(0, now);
+    deliveredHeadBytes = newReader.headBytes();
+    shrinkHead(headBytes - newReader.announcedBodyBytes());
+  }
+
+  /** Reduces the reservation for heads, but not below the head of the current request. */
+  private void shrinkHead(long bytes) {
+    long reduced = Math.max(bytes, deliveredHeadBytes);
+    if (!isWaiting && reduced < headBytes) {
+      headBytes = reduced;
+      memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+    }
   }
 
   /** A body that was refused may end after its response. */
   private void recordBodyEnd() {
-    if (isIdle()) {
+    if (!hasOpenRequest()) {
       receivedBefore = meter.received();
     }
   }
@@ -147,9 +182,11 @@
   /** Reduces the reservation for heads to what may be left after the end of a request. */
   void releaseHead() {
     if (isWaiting) {
+      retryRefused();
       return;
     }
-    headBytes = isIdle() ? meter.received() - receivedBefore : Math.min(headBytes, lastReadBytes);
+    headBytes =
+        !hasOpenRequest() ? meter.received() - receivedBefore : Math.min(headBytes, lastReadBytes);
     if (headBytes == 0) {
       memory.release(this);
     } else {
@@ -185,14 +222,14 @@
   }
 
   private Optional<String> exceededBytes() {
-    if (isIdle() && isReadingBody()) {
+    if (!hasOpenRequest() && isReadingBody()) {
       // The rest of a body that was refused; it is discarded, for a bounded time.
       return Optional.empty();
     }
-    long bodyBytes = reader == null || isIdle() ? 0 : reader.bodyBytes();
+    long bodyBytes = reader == null || !hasOpenRequest() ? 0 : reader.bodyBytes();
     long framing = meter.received() - receivedBefore - bodyBytes * MAX_BYTES_PER_BODY_BYTE;
     return framing > MAX_FRAMING_BYTES
-        ? Optional.of(isIdle() ? "head_bytes" : "framing_bytes")
+        ? Optional.of(!hasOpenRequest() ? "head_bytes" : "framing_bytes")
         : Optional.empty();
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnections.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnections.java
@@ -77,6 +77,7 @@
       return;
     }
     checkedAt = now;
+    List.copyOf(connections.values()).forEach(CallerConnection::retryRefused);
     List.copyOf(connections.values()).stream()
         .filter(connection -> connection.exceedsHeadTime(now))
         .forEach(connection -> close(connection, "head_time"));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
@@ -137,6 +137,11 @@
     writableAction = action;
   }
 
+  /** Returns whether a request waits until the peer has read the response before it. */
+  boolean isAwaitingWritable() {
+    return writableAction != null;
+  }
+
   /** Returns the bytes that have been read from the connection. */
   long received() {
     return received;
--- /dev/null
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
@@ -0,0 +1,147 @@
+package org.cactusseam.edge.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.vertx.core.Handler;
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import java.lang.reflect.Proxy;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.cactusseam.model.gateway.MemorySettings;
+import org.junit.jupiter.api.Test;
+
+/** Guards against limits on memory that cut off the requests of sound callers. */
+class CallerConnectionTest {
+
+  private static final long TOTAL_BYTES = 1 << 20;
+  private static final int READ_BYTES = 16 << 10;
+
+  private final List<Handler<Void>> endHandlers = new ArrayList<>();
+  private Instant now = Instant.EPOCH;
+  private final Clock clock =
+      new Clock() {
+        @Override
+        public ZoneOffset getZone() {
+          return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(java.time.ZoneId zone) {
+          return this;
+        }
+
+        @Override
+        public Instant instant() {
+          return now;
+        }
+      };
+  private final ClientMemory memory =
+      new ClientMemory(clock, new MemorySettings(OptionalLong.of(TOTAL_BYTES), 10));
+  private final ConnectionMeter meter = new ConnectionMeter();
+  private final EmbeddedChannel channel = new EmbeddedChannel(meter);
+  private final List<String> closed = new ArrayList<>();
+  private final CallerConnection connection =
+      new CallerConnection(
+          stub(HttpConnection.class), meter, memory, (each, limit) -> closed.add(limit), now);
+
+  @SuppressWarnings("unchecked") // The only parameter of the method that is stubbed.
+  private <T> T stub(Class<T> type) {
+    MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Content-Length", "1000000");
+    return type.cast(
+        Proxy.newProxyInstance(
+            type.getClassLoader(),
+            new Class<?>[] {type},
+            (proxy, method, arguments) ->
+                switch (method.getName()) {
+                  case "headers" -> headers;
+                  case "getHeader" -> headers.get(String.valueOf(arguments[0]));
+                  case "uri" -> "/lookup/x";
+                  case "endHandler" -> {
+                    endHandlers.add((Handler<Void>) arguments[0]);
+                    yield proxy;
+                  }
+                  default -> null;
+                }));
+  }
+
+  private BodyReader reader() {
+    return new BodyReader(stub(HttpServerRequest.class), 4 << 20, connection, memory);
+  }
+
+  private void receive(int bytes) {
+    channel.writeInbound(Unpooled.wrappedBuffer(new byte[bytes]));
+  }
+
+  /** Holds all memory in reservations that each use the part for small ones. */
+  private void exhaust() {
+    for (int index = 0; index < TOTAL_BYTES / (64 << 10); index++) {
+      memory.reserve(owner(), "other", 64 << 10);
+    }
+  }
+
+  private static ClientMemory.Owner owner() {
+    return new ClientMemory.Owner() {
+      @Override
+      public void onGranted() {}
+
+      @Override
+      public void onRefused() {}
+    };
+  }
+
+  private void refuseWaiting() {
+    now = now.plus(Duration.ofMillis(600));
+    memory.tick();
+  }
+
+  /** Guards against the 32-fold charge for bytes of a body that arrive with the head. */
+  @Test
+  void the_start_of_a_body_is_not_charged_as_head() {
+    receive(READ_BYTES);
+    connection.recordRequestStart(reader(), now);
+
+    assertThat(memory.heldBytes(), lessThan(64L << 10));
+  }
+
+  /** Guards against a pipelined request without memory that ends the response before it. */
+  @Test
+  void a_refused_head_does_not_close_the_connection_of_an_open_request() {
+    BodyReader reader = reader();
+    connection.recordRequestStart(reader, now);
+    reader.read();
+    reader.refuse("test");
+    endHandlers.forEach(each -> each.handle(null));
+    exhaust();
+    receive(READ_BYTES);
+    refuseWaiting();
+
+    assertThat(closed, empty());
+
+    connection.recordRequestEnd(now);
+    connection.retryRefused();
+    refuseWaiting();
+    assertThat(closed, contains("memory"));
+  }
+
+  /** Guards against closing a connection as idle that still writes a response. */
+  @Test
+  void a_connection_is_not_idle_while_a_request_waits_for_writability() {
+    assertThat(connection.isIdle(), is(true));
+    meter.onceWritable(() -> {});
+
+    assertThat(connection.isIdle(), is(false));
+  }
+}
