--- a/cactusseam-core/src/main/java/org/cactusseam/logic/memory/ByteProgress.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/memory/ByteProgress.java
@@ -44,6 +44,31 @@
     bytesAtStart = bytes;
   }
 
+  /**
+   * Leaves out a time in which the process was stopped.
+   *
+   * @param stopped length of the time
+   * @param now current time
+   */
+  public void skipTime(Duration stopped, Instant now) {
+    periodStart = shift(periodStart, stopped, now);
+    checkedAt = shift(checkedAt, stopped, now);
+  }
+
+  /**
+   * Moves the start of a period by a time in which the process was stopped. A period that started
+   * after that time begins now at the latest.
+   *
+   * @param start start of the period
+   * @param stopped length of the time
+   * @param now current time
+   * @return new start of the period
+   */
+  public static Instant shift(Instant start, Duration stopped, Instant now) {
+    Instant shifted = start.plus(stopped);
+    return shifted.isAfter(now) ? now : shifted;
+  }
+
   /**
    * Returns the time without progress. Must be called about once a second.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/memory/MemoryBudget.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/memory/MemoryBudget.java
@@ -200,6 +200,18 @@
     return refused;
   }
 
+  /**
+   * Leaves out a time in which the process was stopped from the times for which reservations wait.
+   *
+   * @param stopped length of the time
+   * @param now current time
+   */
+  public void skipTime(Duration stopped, Instant now) {
+    for (Holding holding : waiting.values()) {
+      holding.waitingSince = ByteProgress.shift(holding.waitingSince, stopped, now);
+    }
+  }
+
   /** Returns whether a reservation waits. */
   public boolean isExhausted() {
     return !waiting.isEmpty();
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/memory/ByteProgressTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/memory/ByteProgressTest.java
@@ -28,6 +28,16 @@
     assertThat(without.compareTo(Duration.ofSeconds(5)) > 0, is(expectedSeconds > 0));
   }
 
+  /** Guards against a stop below the longest interval that counts as time of the client. */
+  @Test
+  void a_short_stop_does_not_count_if_it_is_reported() {
+    ByteProgress progress = new ByteProgress(0, Instant.EPOCH);
+    Instant now = Instant.ofEpochSecond(3);
+    progress.skipTime(Duration.ofSeconds(2), now);
+
+    assertThat(progress.timeWithoutProgress(0, now), is(Duration.ofSeconds(1)));
+  }
+
   /** A process that was stopped has not read what its clients sent meanwhile. */
   @Test
   void time_in_which_the_process_was_stopped_does_not_count() {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/memory/MemoryBudgetTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/memory/MemoryBudgetTest.java
@@ -80,6 +80,17 @@
     assertThat(budget.isExhausted(), is(false));
   }
 
+  /** Guards against refusals of all that waits when a frozen process wakes up. */
+  @Test
+  void time_in_which_the_process_was_stopped_is_not_waited_for() {
+    fill(7, "x");
+    Instant woken = START.plusSeconds(9);
+    budget.skipTime(Duration.ofSeconds(9), woken);
+
+    assertThat(budget.takeRefused(woken.plus(WAIT)), empty());
+    assertThat(budget.takeRefused(woken.plus(WAIT).plusMillis(1)), contains("x6"));
+  }
+
   /** Guards against a body that grows without an announced length and holds others up for ever. */
   @Test
   void growing_reservations_that_block_each_other_are_refused() {
