Leave out stops of the process, and end reservations with their connection

Memory is granted before anything is refused.

Admission after a connection was closed reserved memory that nothing released. Bytes are now discarded then, and the callbacks do nothing. A connection without progress is closed without waiting for writes that the peer does not read.

The reader of a body and the reservation of heads shared one flag that stops reading, so one could end the hold of the other. Each has a hold of its own now.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BodyReader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BodyReader.java
@@ -142,13 +142,17 @@
 
   /** Reserves memory; without it, nothing is read until it is granted. */
   private boolean reserve(long newBodyBytes) {
+    if (connection.isClosed()) {
+      discard();
+      return false;
+    }
     reservedBodyBytes = newBodyBytes;
     if (memory.reserve(this, connection.address(), REQUEST_BYTES + newBodyBytes)) {
       return true;
     }
     isWaiting = true;
     request.pause();
-    connection.meter().hold();
+    connection.meter().hold(this);
     return false;
   }
 
@@ -166,7 +170,7 @@
       discard();
     } else if (length <= reservedBodyBytes || reserve(sizeFor(length))) {
       body.appendBuffer(part);
-    } else {
+    } else if (!isDiscarding) {
       waitingPart = part;
     }
   }
@@ -178,6 +182,10 @@
 
   @Override
   public void onGranted() {
+    if (connection.isClosed()) {
+      release();
+      return;
+    }
     Buffer part = waitingPart;
     waitingPart = null;
     if (part == null) {
@@ -190,13 +198,16 @@
 
   @Override
   public void onRefused() {
+    if (connection.isClosed()) {
+      return;
+    }
     refuse("memory");
   }
 
   private void resume() {
     if (isWaiting) {
       isWaiting = false;
-      connection.meter().release();
+      connection.meter().release(this);
       request.resume();
     }
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
@@ -44,6 +44,7 @@
   private long receivedBefore;
   private long receivedAtLastRead;
   private long lastReadBytes;
+  private boolean isClosed;
   private boolean isWaiting;
   private boolean isRefused;
   private long headBytes;
@@ -66,7 +67,7 @@
     this.bodyProgress = new ByteProgress(0, now);
     this.writeProgress = new ByteProgress(0, now);
     this.idleSince = now;
-    meter.setAdmission(this::admitBytes);
+    meter.setAdmission(this, this::admitBytes);
   }
 
   HttpConnection connection() {
@@ -102,33 +103,57 @@
     return reader != null && reader.isReceiving();
   }
 
+  boolean isClosed() {
+    return isClosed;
+  }
+
+  /** Leaves out a time in which the process was stopped. */
+  void skipTime(Duration stopped, Instant now) {
+    bodyProgress.skipTime(stopped, now);
+    writeProgress.skipTime(stopped, now);
+    if (headSince != null) {
+      headSince = ByteProgress.shift(headSince, stopped, now);
+    }
+  }
+
   /** Reserves memory for heads before they are decoded. */
-  private boolean admitBytes() {
+  private ConnectionMeter.Decision admitBytes() {
+    if (isClosed) {
+      return ConnectionMeter.Decision.DISCARD;
+    }
     lastReadBytes = meter.received() - receivedAtLastRead;
     receivedAtLastRead = meter.received();
     Optional<String> exceeded = exceededBytes();
     if (exceeded.isPresent()) {
       closer.accept(this, exceeded.get());
-      return false;
+      // The rest of a refused body cannot be decoded if a part of it is missing.
+      return isClosed ? ConnectionMeter.Decision.DISCARD : ConnectionMeter.Decision.KEEP;
     }
     if (isReadingBody()) {
       // What was read before has been added to the body.
       shrinkHead(deliveredHeadBytes);
-      return true;
+      return ConnectionMeter.Decision.DECODE;
     }
     headBytes += lastReadBytes;
     isWaiting = !memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
-    return !isWaiting;
+    return isWaiting ? ConnectionMeter.Decision.KEEP : ConnectionMeter.Decision.DECODE;
   }
 
   @Override
   public void onGranted() {
+    if (isClosed) {
+      memory.release(this);
+      return;
+    }
     isWaiting = false;
-    meter.release();
+    meter.release(this);
   }
 
   @Override
   public void onRefused() {
+    if (isClosed) {
+      return;
+    }
     if (hasOpenRequest() || meter.unsent() > 0) {
       // A close would cut off the response before the request that does not fit.
       isRefused = true;
@@ -139,7 +164,7 @@
 
   /** Reserves again what was refused while a response was open. */
   void retryRefused() {
-    if (isRefused && !hasOpenRequest() && meter.unsent() == 0) {
+    if (isRefused && !isClosed && !hasOpenRequest() && meter.unsent() == 0) {
       isRefused = false;
       if (memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE)) {
         onGranted();
@@ -160,7 +185,7 @@
   /** Reduces the reservation for heads, but not below the head of the current request. */
   private void shrinkHead(long bytes) {
     long reduced = Math.max(bytes, deliveredHeadBytes);
-    if (!isWaiting && reduced < headBytes) {
+    if (!isClosed && !isWaiting && reduced < headBytes) {
       headBytes = reduced;
       memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
     }
@@ -181,6 +206,9 @@
 
   /** Reduces the reservation for heads to what may be left after the end of a request. */
   void releaseHead() {
+    if (isClosed) {
+      return;
+    }
     if (isWaiting) {
       retryRefused();
       return;
@@ -196,6 +224,7 @@
 
   /** Ends all reservations, because the connection is closed. */
   void releaseAll() {
+    isClosed = true;
     memory.release(this);
     if (reader != null) {
       reader.release();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnections.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnections.java
@@ -28,6 +28,8 @@
   /** Time without progress after which a connection is closed when others wait for its memory. */
   private static final Duration PROGRESS_TIME_WHEN_EXHAUSTED = Duration.ofSeconds(2);
 
+  private static final String LIMIT_PROGRESS = "progress";
+
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
   private final Gateway gateway;
@@ -72,6 +74,11 @@
     return connections.get(connection);
   }
 
+  /** Leaves out a time in which the process was stopped from all limits on time. */
+  void skipTime(Duration stopped, Instant now) {
+    connections.values().forEach(connection -> connection.skipTime(stopped, now));
+  }
+
   void tick(Instant now) {
     if (checkedAt.isAfter(now.minus(CHECK_INTERVAL))) {
       return;
@@ -89,14 +96,14 @@
     for (CallerConnection connection : List.copyOf(connections.values())) {
       Duration without = connection.timeWithoutProgress(now);
       if (without.compareTo(longest) > 0) {
-        close(connection, "progress");
+        close(connection, LIMIT_PROGRESS);
       } else if (exhausted && without.compareTo(longestWithout) > 0) {
         oldest = connection;
         longestWithout = without;
       }
     }
     if (oldest != null) {
-      close(oldest, "progress_when_exhausted");
+      close(oldest, LIMIT_PROGRESS + "_when_exhausted");
     }
   }
 
@@ -108,7 +115,11 @@
     }
     recordClosed(limit, closed.connection());
     remove(closed.connection());
-    closed.connection().close();
+    if (limit.startsWith(LIMIT_PROGRESS)) {
+      closed.meter().closeNow();
+    } else {
+      closed.connection().close();
+    }
   }
 
   private void recordClosed(String limit, HttpConnection connection) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ClientMemory.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ClientMemory.java
@@ -1,6 +1,7 @@
 package org.cactusseam.edge.gateway;
 
 import java.time.Clock;
+import java.time.Duration;
 import org.cactusseam.logic.memory.MemoryBudget;
 import org.cactusseam.model.gateway.MemorySettings;
 
@@ -46,7 +47,13 @@
     }
   }
 
+  void skipTime(Duration stopped) {
+    budget.skipTime(stopped, clock.instant());
+  }
+
+  /** Grants what fits, and refuses only what does not fit after that. */
   void tick() {
+    budget.takeGranted().forEach(Owner::onGranted);
     budget.takeRefused(clock.instant()).forEach(Owner::onRefused);
     budget.takeGranted().forEach(Owner::onGranted);
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
@@ -7,6 +7,9 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,19 +32,31 @@
   @FunctionalInterface
   interface Admission {
 
-    /** Returns false to keep the bytes until {@link ConnectionMeter#release} is called. */
-    boolean admit();
+    /** Returns what is done with the bytes that have been read. */
+    Decision admit();
   }
 
-  private Admission admission = () -> true;
+  /** What is done with bytes that have been read. */
+  enum Decision {
+    /** They are decoded at once. */
+    DECODE,
+    /** They are kept until the owner of the admission calls {@link ConnectionMeter#release}. */
+    KEEP,
+    /** They are dropped, because the connection is closed. */
+    DISCARD
+  }
+
+  private Admission admission = () -> Decision.DECODE;
+  private Object admissionOwner = this;
+  private final Set<Object> holders = Collections.newSetFromMap(new IdentityHashMap<>(2));
   private @Nullable ChannelHandlerContext context;
   private @Nullable Runnable writableAction;
   private @Nullable Object keptMessage;
   private long received;
   private long written;
-  private boolean held;
 
-  void setAdmission(Admission newAdmission) {
+  void setAdmission(Object owner, Admission newAdmission) {
+    admissionOwner = owner;
     admission = newAdmission;
   }
 
@@ -67,9 +82,14 @@
   public void channelRead(ChannelHandlerContext from, Object message) {
     if (message instanceof ByteBuf bytes) {
       received += bytes.readableBytes();
-      if (!admission.admit()) {
+      Decision decision = admission.admit();
+      if (decision == Decision.KEEP) {
         keptMessage = message;
-        hold();
+        hold(admissionOwner);
+        return;
+      }
+      if (decision == Decision.DISCARD) {
+        bytes.release();
         return;
       }
     }
@@ -79,7 +99,7 @@
   @Override
   public void read(ChannelHandlerContext from) {
     // The library may ask to read while the connection is held.
-    if (!held) {
+    if (holders.isEmpty()) {
       from.read();
     }
   }
@@ -102,19 +122,21 @@
     }
   }
 
-  /** Stops reading from the connection. */
-  void hold() {
-    held = true;
+  /** Stops reading from the connection, until the same owner releases it. */
+  void hold(Object owner) {
+    holders.add(owner);
     if (context != null) {
       context.channel().config().setAutoRead(false);
     }
   }
 
-  /** Decodes the bytes that were kept, and goes on reading from the connection. */
-  void release() {
-    held = false;
+  /**
+   * Decodes the bytes that were kept, and goes on reading from the connection, if no other owner
+   * holds it.
+   */
+  void release(Object owner) {
     ChannelHandlerContext to = context;
-    if (to == null) {
+    if (!holders.remove(owner) || !holders.isEmpty() || to == null || to.isRemoved()) {
       return;
     }
     // Before the bytes are decoded: the library may stop reading because of them.
@@ -142,6 +164,13 @@
     return writableAction != null;
   }
 
+  /** Closes the connection without waiting for the peer to read what was written. */
+  void closeNow() {
+    if (context != null) {
+      context.close();
+    }
+  }
+
   /** Returns the bytes that have been read from the connection. */
   long received() {
     return received;
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
@@ -144,4 +144,41 @@
 
     assertThat(connection.isIdle(), is(false));
   }
+
+  /** Guards against the limit on the time for a head that includes a stop of the process. */
+  @Test
+  void time_in_which_the_process_was_stopped_does_not_count_for_a_head() {
+    receive(10);
+    assertThat(connection.exceedsHeadTime(now), is(false));
+    now = now.plusSeconds(20);
+    connection.skipTime(Duration.ofSeconds(20), now);
+
+    assertThat(connection.exceedsHeadTime(now), is(false));
+    assertThat(connection.exceedsHeadTime(now.plusSeconds(10)), is(true));
+  }
+
+  /** Guards against reservations that nothing ends. */
+  @Test
+  void a_closed_connection_reserves_nothing() {
+    connection.releaseAll();
+    receive(READ_BYTES);
+    reader().read();
+    connection.releaseHead();
+
+    assertThat(memory.heldBytes(), is(0L));
+    assertThat(channel.inboundMessages().isEmpty(), is(true));
+  }
+
+  /** Guards against one owner that ends the hold of another one. */
+  @Test
+  void a_connection_is_read_when_all_owners_have_released_it() {
+    Object other = new Object();
+    meter.hold(other);
+    meter.hold(this);
+    meter.release(other);
+    assertThat(channel.config().isAutoRead(), is(false));
+
+    meter.release(this);
+    assertThat(channel.config().isAutoRead(), is(true));
+  }
 }
