--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
@@ -44,8 +44,11 @@
   private long receivedBefore;
   private long receivedAtLastRead;
   private long lastReadBytes;
+  private boolean isClosed;
   private boolean isWaiting;
+  private boolean isRefused;
   private long headBytes;
+  private long deliveredHeadBytes;
   private @Nullable Instant headSince;
   private Instant idleSince;
 
@@ -64,7 +67,7 @@
     this.bodyProgress = new ByteProgress(0, now);
     this.writeProgress = new ByteProgress(0, now);
     this.idleSince = now;
-    meter.setAdmission(this::admitBytes);
+    meter.setAdmission(this, this::admitBytes);
   }
 
   HttpConnection connection() {
@@ -79,8 +82,13 @@
     return address;
   }
 
+  private boolean hasOpenRequest() {
+    return openRequests > 0;
+  }
+
+  /** Returns whether nothing is lost for the caller if the connection is closed. */
   boolean isIdle() {
-    return openRequests == 0;
+    return !hasOpenRequest() && !meter.isAwaitingWritable() && meter.unsent() == 0;
   }
 
   Instant idleSince() {
@@ -95,32 +103,73 @@
     return reader != null && reader.isReceiving();
   }
 
+  boolean isClosed() {
+    return isClosed;
+  }
+
+  /** Leaves out a time in which the process was stopped. */
+  void skipTime(Duration stopped, Instant now) {
+    bodyProgress.skipTime(stopped, now);
+    writeProgress.skipTime(stopped, now);
+    if (headSince != null) {
+      headSince = ByteProgress.shift(headSince, stopped, now);
+    }
+  }
+
   /** Reserves memory for heads before they are decoded. */
-  private boolean admitBytes() {
+  private ConnectionMeter.Decision admitBytes() {
+    if (isClosed) {
+      return ConnectionMeter.Decision.DISCARD;
+    }
     lastReadBytes = meter.received() - receivedAtLastRead;
     receivedAtLastRead = meter.received();
     Optional<String> exceeded = exceededBytes();
     if (exceeded.isPresent()) {
       closer.accept(this, exceeded.get());
-      return false;
+      // The rest of a refused body cannot be decoded if a part of it is missing.
+      return isClosed ? ConnectionMeter.Decision.DISCARD : ConnectionMeter.Decision.KEEP;
     }
     if (isReadingBody()) {
-      return true;
+      // What was read before has been added to the body.
+      shrinkHead(deliveredHeadBytes);
+      return ConnectionMeter.Decision.DECODE;
     }
     headBytes += lastReadBytes;
     isWaiting = !memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
-    return !isWaiting;
+    return isWaiting ? ConnectionMeter.Decision.KEEP : ConnectionMeter.Decision.DECODE;
   }
 
   @Override
   public void onGranted() {
+    if (isClosed) {
+      memory.release(this);
+      return;
+    }
     isWaiting = false;
-    meter.release();
+    meter.release(this);
   }
 
   @Override
   public void onRefused() {
-    closer.accept(this, "memory");
+    if (isClosed) {
+      return;
+    }
+    if (hasOpenRequest() || meter.unsent() > 0) {
+      // A close would cut off the response before the request that does not fit.
+      isRefused = true;
+    } else {
+      closer.accept(this, "memory");
+    }
+  }
+
+  /** Reserves again what was refused while a response was open. */
+  void retryRefused() {
+    if (isRefused && !isClosed && !hasOpenRequest() && meter.unsent() == 0) {
+      isRefused = false;
+      if (memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE)) {
+        onGranted();
+      }
+    }
   }
 
   void recordRequestStart(BodyReader newReader, Instant now) {
@@ -129,11 +178,22 @@
     reader = newReader;
     newReader.whenEnded(this::recordBodyEnd);
     bodyProgress.restart(0, now);
+    deliveredHeadBytes = newReader.headBytes();
+    shrinkHead(headBytes - newReader.announcedBodyBytes());
+  }
+
+  /** Reduces the reservation for heads, but not below the head of the current request. */
+  private void shrinkHead(long bytes) {
+    long reduced = Math.max(bytes, deliveredHeadBytes);
+    if (!isClosed && !isWaiting && reduced < headBytes) {
+      headBytes = reduced;
+      memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+    }
   }
 
   /** A body that was refused may end after its response. */
   private void recordBodyEnd() {
-    if (isIdle()) {
+    if (!hasOpenRequest()) {
       receivedBefore = meter.received();
     }
   }
@@ -146,10 +206,15 @@
 
   /** Reduces the reservation for heads to what may be left after the end of a request. */
   void releaseHead() {
+    if (isClosed) {
+      return;
+    }
     if (isWaiting) {
+      retryRefused();
       return;
     }
-    headBytes = isIdle() ? meter.received() - receivedBefore : Math.min(headBytes, lastReadBytes);
+    headBytes =
+        !hasOpenRequest() ? meter.received() - receivedBefore : Math.min(headBytes, lastReadBytes);
     if (headBytes == 0) {
       memory.release(this);
     } else {
@@ -159,6 +224,7 @@
 
   /** Ends all reservations, because the connection is closed. */
   void releaseAll() {
+    isClosed = true;
     memory.release(this);
     if (reader != null) {
       reader.release();
@@ -185,14 +251,14 @@
   }
 
   private Optional<String> exceededBytes() {
-    if (isIdle() && isReadingBody()) {
+    if (!hasOpenRequest() && isReadingBody()) {
       // The rest of a body that was refused; it is discarded, for a bounded time.
       return Optional.empty();
     }
-    long bodyBytes = reader == null || isIdle() ? 0 : reader.bodyBytes();
+    long bodyBytes = reader == null || !hasOpenRequest() ? 0 : reader.bodyBytes();
     long framing = meter.received() - receivedBefore - bodyBytes * MAX_BYTES_PER_BODY_BYTE;
     return framing > MAX_FRAMING_BYTES
-        ? Optional.of(isIdle() ? "head_bytes" : "framing_bytes")
+        ? Optional.of(!hasOpenRequest() ? "head_bytes" : "framing_bytes")
         : Optional.empty();
   }
 
