Close incomplete heads over the limit, and the holder of most memory

The oldest incomplete heads are closed when all together exceed their limit, and each that exceeds 1 MiB. Heads behind an open request are not in this limit.

When the budget is exhausted, the connection without progress that holds most is closed, if it holds more than 64 KiB. The one without progress for the longest time could be a stream that holds little.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
@@ -134,11 +134,49 @@
       shrinkHead(deliveredHeadBytes);
       return ConnectionMeter.Decision.DECODE;
     }
+    // Before this read is recorded: it may complete the head.
+    memory
+        .incompleteHeads()
+        .takeExcess()
+        .forEach(excess -> excess.closer.accept(excess, "incomplete_heads"));
+    if (isClosed) {
+      return ConnectionMeter.Decision.DISCARD;
+    }
     headBytes += lastReadBytes;
     isWaiting = !memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+    if (!isWaiting) {
+      recordIncompleteHead();
+    }
     return isWaiting ? ConnectionMeter.Decision.KEEP : ConnectionMeter.Decision.DECODE;
   }
 
+  private void recordIncompleteHead() {
+    if (hasOpenRequest() || headBytes == 0) {
+      memory.incompleteHeads().remove(this);
+    } else {
+      memory.incompleteHeads().record(this, headBytes * MEMORY_PER_HEAD_BYTE);
+    }
+  }
+
+  /** Returns the bytes that are reserved for heads and for the body. */
+  private long heldBytes() {
+    return memory.heldBytes(this) + (reader == null ? 0 : memory.heldBytes(reader));
+  }
+
+  /**
+   * Returns the bytes that the connection would free, if it has made no progress for a time. Zero
+   * if it holds little: closing it would not help those that wait.
+   */
+  long heldWithoutProgress(Duration limit, Instant now) {
+    long held = heldBytes();
+    return memory.isLarge(held) && timeWithoutProgress(now).compareTo(limit) > 0 ? held : 0;
+  }
+
+  /** Returns whether a request has arrived, at least in part, that has not been started or read. */
+  boolean hasUnfinishedRequest() {
+    return meter.isAwaitingWritable() || meter.hasKept() || isReadingBody();
+  }
+
   @Override
   public void onGranted() {
     if (isClosed) {
@@ -146,6 +184,7 @@
       return;
     }
     isWaiting = false;
+    recordIncompleteHead();
     meter.release(this);
   }
 
@@ -174,6 +213,7 @@
 
   void recordRequestStart(BodyReader newReader, Instant now) {
     openRequests++;
+    memory.incompleteHeads().remove(this);
     headSince = null;
     reader = newReader;
     newReader.whenEnded(this::recordBodyEnd);
@@ -215,6 +255,7 @@
     }
     headBytes =
         !hasOpenRequest() ? meter.received() - receivedBefore : Math.min(headBytes, lastReadBytes);
+    recordIncompleteHead();
     if (headBytes == 0) {
       memory.release(this);
     } else {
@@ -225,6 +266,7 @@
   /** Ends all reservations, because the connection is closed. */
   void releaseAll() {
     isClosed = true;
+    memory.incompleteHeads().remove(this);
     memory.release(this);
     if (reader != null) {
       reader.release();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnections.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnections.java
@@ -6,10 +6,12 @@
 import io.vertx.core.http.impl.HttpServerConnection;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.jspecify.annotations.Nullable;
 
@@ -91,22 +93,32 @@
     Duration idleTimeout = gateway.routes().limits().idleTimeout();
     Duration longest = Duration.ofMillis((long) (idleTimeout.toMillis() * PROGRESS_TIME_FACTOR));
     boolean exhausted = gateway.memory().isExhausted();
-    CallerConnection oldest = null;
-    Duration longestWithout = PROGRESS_TIME_WHEN_EXHAUSTED;
     for (CallerConnection connection : List.copyOf(connections.values())) {
-      Duration without = connection.timeWithoutProgress(now);
-      if (without.compareTo(longest) > 0) {
+      if (connection.timeWithoutProgress(now).compareTo(longest) > 0) {
         close(connection, LIMIT_PROGRESS);
-      } else if (exhausted && without.compareTo(longestWithout) > 0) {
-        oldest = connection;
-        longestWithout = without;
       }
     }
-    if (oldest != null) {
-      close(oldest, LIMIT_PROGRESS + "_when_exhausted");
+    if (exhausted) {
+      findLargestWithoutProgress(connections.values(), now)
+          .ifPresent(largest -> close(largest, LIMIT_PROGRESS + "_when_exhausted"));
     }
   }
 
+  /** Finds the connection whose end frees most memory, among those without progress. */
+  static Optional<CallerConnection> findLargestWithoutProgress(
+      Collection<CallerConnection> candidates, Instant now) {
+    return candidates.stream()
+        .filter(each -> each.heldWithoutProgress(PROGRESS_TIME_WHEN_EXHAUSTED, now) > 0)
+        .max(
+            Comparator.comparingLong(
+                each -> each.heldWithoutProgress(PROGRESS_TIME_WHEN_EXHAUSTED, now)));
+  }
+
+  /** Returns whether a request has arrived, at least in part, that has not been started or read. */
+  boolean hasUnfinishedRequest() {
+    return connections.values().stream().anyMatch(CallerConnection::hasUnfinishedRequest);
+  }
+
   /** Closes a connection. A request whose body is still being read is refused first. */
   private void close(CallerConnection closed, String limit) {
     if (closed.reader().filter(BodyReader::isReading).isPresent()) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ClientMemory.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ClientMemory.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import org.cactusseam.logic.memory.IncompleteHeads;
 import org.cactusseam.logic.memory.MemoryBudget;
 import org.cactusseam.model.gateway.MemorySettings;
 
@@ -24,14 +25,21 @@
     void onRefused();
   }
 
+  /** Memory of the longest head that the library decodes, 32 KiB. */
+  private static final long MAX_HEAD_MEMORY = 1 << 20;
+
   private final Clock clock;
+  private final MemoryBudget.Limits limits;
+  private final IncompleteHeads<CallerConnection> incompleteHeads;
   private final MemoryBudget<Owner> budget;
 
   ClientMemory(Clock clock, MemorySettings settings) {
     this.clock = clock;
     long total =
         settings.clientBytes().orElse((long) (Runtime.getRuntime().maxMemory() * HEAP_SHARE));
-    this.budget = new MemoryBudget<>(MemoryBudget.Limits.ofTotal(total));
+    this.limits = MemoryBudget.Limits.ofTotal(total);
+    this.budget = new MemoryBudget<>(limits);
+    this.incompleteHeads = new IncompleteHeads<>(limits, MAX_HEAD_MEMORY);
   }
 
   /** Reserves bytes; if this returns false, the owner is called later. */
@@ -58,6 +66,19 @@
     budget.takeGranted().forEach(Owner::onGranted);
   }
 
+  IncompleteHeads<CallerConnection> incompleteHeads() {
+    return incompleteHeads;
+  }
+
+  long heldBytes(Owner owner) {
+    return budget.heldBytes(owner).orElse(0);
+  }
+
+  /** Returns whether a reservation is so large that its end helps those that wait. */
+  boolean isLarge(long bytes) {
+    return bytes > limits.smallBytes();
+  }
+
   boolean isExhausted() {
     return budget.isExhausted();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
@@ -164,6 +164,11 @@
     return writableAction != null;
   }
 
+  /** Returns whether bytes wait to be decoded. */
+  boolean hasKept() {
+    return keptMessage != null;
+  }
+
   /** Closes the connection without waiting for the peer to read what was written. */
   void closeNow() {
     if (context != null) {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
@@ -181,4 +181,55 @@
     meter.release(this);
     assertThat(channel.config().isAutoRead(), is(true));
   }
+
+  /** Guards against small reservations for heads that use up the part that is kept for requests. */
+  @Test
+  void many_incomplete_heads_do_not_use_up_the_reserve() {
+    for (int index = 0; index < 60; index++) {
+      ConnectionMeter otherMeter = new ConnectionMeter();
+      EmbeddedChannel otherChannel = new EmbeddedChannel(otherMeter);
+      CallerConnection other =
+          new CallerConnection(
+              stub(HttpConnection.class),
+              otherMeter,
+              memory,
+              (each, limit) -> {
+                closed.add(limit);
+                each.releaseAll();
+              },
+              now);
+      otherChannel.writeInbound(Unpooled.wrappedBuffer(new byte[2_000]));
+      assertThat(other.isClosed(), is(false));
+    }
+
+    assertThat(memory.heldBytes(), lessThan(TOTAL_BYTES / 2));
+    assertThat(memory.isExhausted(), is(false));
+    assertThat(closed.get(0), is("incomplete_heads"));
+  }
+
+  /** Guards against closing a connection that holds little, which does not help what waits. */
+  @Test
+  void only_a_connection_with_a_large_reservation_is_closed_when_memory_is_exhausted() {
+    BodyReader reader = reader();
+    connection.recordRequestStart(reader, now);
+    Instant later = now.plusMillis(2_500);
+    assertThat(
+        CallerConnections.findLargestWithoutProgress(List.of(connection), later).isPresent(),
+        is(false));
+
+    memory.reserve(reader, "", 100 << 10);
+    assertThat(
+        CallerConnections.findLargestWithoutProgress(List.of(connection), later).isPresent(),
+        is(true));
+  }
+
+  /** Guards against a process that exits while it keeps a head that has arrived. */
+  @Test
+  void a_head_that_waits_for_memory_is_unfinished() {
+    assertThat(connection.hasUnfinishedRequest(), is(false));
+    exhaust();
+    receive(100);
+
+    assertThat(connection.hasUnfinishedRequest(), is(true));
+  }
 }
