Wait at a stop for requests that have arrived but are not read

The exit waits, up to the drain limit, also for heads that wait for memory, requests that wait for the response before them, and refused bodies that are being discarded. A refusal while draining announces the close of the connection and has the short Retry-After of draining.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -126,7 +126,7 @@
     }
     boolean isIdle =
         gateway.active().isEmpty()
-            && !server.isReadingBody()
+            && !server.isReadingRequest()
             && gateway.timeDraining().compareTo(BALANCER_REMOVAL_DELAY) >= 0;
     if ((isTimeUp || isIdle) && isEverythingWritten()) {
       closing = true;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -133,9 +133,12 @@
     return callers.close();
   }
 
-  /** Returns whether the head of a request has arrived whose body is not complete yet. */
-  boolean isReadingBody() {
-    return bodiesBeingRead > 0;
+  /**
+   * Returns whether a request has arrived, at least in part, that is not answered or forwarded: its
+   * head or body is being read, it waits for the response before it, or its body is discarded.
+   */
+  boolean isReadingRequest() {
+    return bodiesBeingRead > 0 || connections.hasUnfinishedRequest();
   }
 
   /** Closes caller connections that have exceeded the configured idle timeout. */
@@ -249,12 +252,22 @@
   /** Refuses a request whose body has not been read, and discards what arrives of the body. */
   private void refuseUnread(HttpServerRequest request, BodyReader reader, String limit) {
     gateway.metrics().increment("cactusseam_requests_unread_total{limit=\"" + limit + "\"}");
-    // An announced close would be carried out at once: with unread bytes that is a reset, and the
-    // caller could lose the response.
-    request.response().putHeader("Retry-After", RETRY_AFTER_UNREAD);
+    boolean isDraining = gateway.isDraining();
+    if (isDraining) {
+      putDrainingHeaders(request);
+    } else {
+      request.response().putHeader("Retry-After", RETRY_AFTER_UNREAD);
+    }
     reject(request, STATUS_UNAVAILABLE, "the request was not read, limit: " + limit);
     long timer = gateway.vertx().setTimer(DISCARD_MILLIS, elapsed -> request.connection().close());
-    reader.whenEnded(() -> gateway.vertx().cancelTimer(timer));
+    // A close with unread bytes is a reset, and the caller could lose the response.
+    reader.whenEnded(
+        () -> {
+          gateway.vertx().cancelTimer(timer);
+          if (isDraining) {
+            request.connection().close();
+          }
+        });
   }
 
   private void forward(HttpServerRequest request, Buffer body, Instant receivedAt) {
@@ -309,13 +322,17 @@
     return Optional.empty();
   }
 
-  private void rejectForShutdown(HttpServerRequest request) {
+  private static void putDrainingHeaders(HttpServerRequest request) {
     request
         .response()
         .putHeader(
             "Retry-After",
             Double.toString(Exchange.RETRY_AFTER_DRAINING.toMillis() / MILLIS_PER_SECOND))
         .putHeader("Connection", "close");
+  }
+
+  private void rejectForShutdown(HttpServerRequest request) {
+    putDrainingHeaders(request);
     reject(request, STATUS_UNAVAILABLE, Exchange.SHUTDOWN_REASON);
     request.connection().close();
   }
