Keep the state that a test of waiting requests observes for 2 s

The three requests are in the service together for at most 300 ms; a test thread that polls later never sees two waiting. Shown by a pause of 0.8 s before the first poll: fails with 300 ms. The check is the same, the work now takes 2 s.

PlainContractTest: 15 of 15 pass; the case alone also passed with a pause of 0.4 s before the first poll (one run each).

--- a/cactusseam-standins/src/test/java/org/cactusseam/standin/plain/PlainContractTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/standin/plain/PlainContractTest.java
@@ -26,6 +26,12 @@
  */
 class PlainContractTest {
 
+  /**
+   * Duration of a request while others wait. All three are in the service for at most this time; at
+   * 300 ms, a test thread that was delayed by other load missed the state.
+   */
+  private static final int WAITING_TEST_WORK_MILLIS = 2_000;
+
   private static final String KEY = "Idempotency-Key";
   private static final PlainOptions FAST = new PlainOptions(1, 16, 0, 2, 50);
 
@@ -74,7 +80,7 @@
 
   @Test
   void requests_beyond_the_workers_wait() {
-    try (StandInFixture fixture = start(new PlainOptions(300, 1, 0, 2, 50))) {
+    try (StandInFixture fixture = start(new PlainOptions(WAITING_TEST_WORK_MILLIS, 1, 0, 2, 50))) {
       List<CompletableFuture<Answer>> answers =
           IntStream.range(0, 3).mapToObj(i -> fixture.sendAsync("POST", "/b", "" + i)).toList();
       StandInFixture.await(() -> fixture.get("/load").json().get("waiting").asInt() == 2);
