Do no work for loads in ticks without a change

Every tick copied the own loads, built two maps of the pending prefill and streamed over the topics, and repeated loads of a peer were subtracted and added again. ServerLoads returns the same map until a change, the policy compares the prefill only after a change, and equal loads of a peer only renew their time. Decisions and messages are the same.

ServerLoadsTest, LoadBroadcastPolicyTest, PeerReachabilityTest, RecordOffersTest, StoreWatcherTest and GatewayServingTest pass.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LoadBroadcastPolicy.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LoadBroadcastPolicy.java
@@ -71,10 +71,12 @@
    */
   public boolean isDue(Map<String, ServerLoads.ServerLoad> loads, int peerCount, Instant now) {
     refill(peerCount, now);
+    boolean changed = !loads.equals(lastLoads);
     boolean promptsChanged =
-        !pendingPrefill(loads).equals(pendingPrefill(lastLoads))
-            && availablePromptMessages >= peerCount;
-    boolean otherChanged = isOlderThan(interval(peerCount), now) && !loads.equals(lastLoads);
+        changed
+            && availablePromptMessages >= peerCount
+            && !pendingPrefill(loads).equals(pendingPrefill(lastLoads));
+    boolean otherChanged = changed && isOlderThan(interval(peerCount), now);
     return promptsChanged || otherChanged || isOlderThan(keepAlive(peerCount), now);
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/PeerReachability.java
@@ -77,7 +77,8 @@
    * @return number of connected peers and of those that became unreachable less than 60 s ago
    */
   public int sharingCount(Instant now) {
-    return sharing(now).size();
+    // All others are connected in nearly every tick; the names are not needed then.
+    return unreachableSince.isEmpty() ? connected.size() : sharing(now).size();
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RecordOffers.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RecordOffers.java
@@ -108,6 +108,9 @@
    * @return at most one fetch per record
    */
   public List<Fetch> takeDueFetches(KnownRecords known, Instant now) {
+    if (offers.isEmpty()) {
+      return List.of();
+    }
     offers
         .entrySet()
         .removeIf(
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerLoads.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerLoads.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Load of each backend server: exact for the requests of this VM, and as last received for those of
@@ -23,6 +24,9 @@
 
   private Runnable prefillListener = () -> {};
 
+  /** Result of {@link #own}; null if {@link #own} has changed since it was made. */
+  private @Nullable Map<String, ServerLoad> ownSnapshot;
+
   /**
    * Load of one server, as counted by one or more VMs.
    *
@@ -61,6 +65,7 @@
    * @param tokens memory that it is expected to need, in tokens
    */
   public void addRun(String serverId, int tokens) {
+    ownSnapshot = null;
     own.merge(serverId, new ServerLoad(1, tokens, 0), ServerLoad::plus);
   }
 
@@ -70,6 +75,7 @@
    * @param tokens length of the prompt
    */
   public void startPrefill(String serverId, int tokens) {
+    ownSnapshot = null;
     own.merge(serverId, new ServerLoad(0, 0, tokens), ServerLoad::plus);
     prefillListener.run();
   }
@@ -80,6 +86,7 @@
    * @param tokens length of the prompt
    */
   public void endPrefill(String serverId, int tokens) {
+    ownSnapshot = null;
     own.computeIfPresent(serverId, (id, load) -> load.plus(new ServerLoad(0, 0, -tokens)));
     prefillListener.run();
   }
@@ -90,6 +97,7 @@
    * @param tokens the same number of tokens as in the call of {@link #addRun}
    */
   public void removeRun(String serverId, int tokens) {
+    ownSnapshot = null;
     ServerLoad remaining =
         own.getOrDefault(serverId, ServerLoad.NONE).plus(new ServerLoad(-1, -tokens, 0));
     if (remaining.runs() <= 0) {
@@ -106,8 +114,13 @@
    * @param loads loads by server identifier
    */
   public void setPeerLoads(String peer, Map<String, ServerLoad> loads, Instant now) {
+    PeerLoads previous = peers.get(peer);
+    if (previous != null && previous.loads().equals(loads)) {
+      peers.put(peer, new PeerLoads(previous.loads(), now));
+      return;
+    }
     PeerLoads received = new PeerLoads(Map.copyOf(loads), now);
-    PeerLoads previous = peers.put(peer, received);
+    peers.put(peer, received);
     if (previous != null) {
       subtract(previous);
     }
@@ -153,12 +166,18 @@
   }
 
   /**
-   * Returns the loads that this VM has counted.
+   * Returns the loads that this VM has counted. Returns the same map until they change, because it
+   * is read in each tick and for each message.
    *
-   * @return loads by server identifier
+   * @return loads by server identifier, immutable
    */
   public Map<String, ServerLoad> own() {
-    return Map.copyOf(own);
+    Map<String, ServerLoad> snapshot = ownSnapshot;
+    if (snapshot == null) {
+      snapshot = Map.copyOf(own);
+      ownSnapshot = snapshot;
+    }
+    return snapshot;
   }
 
   /** Returns the load that all VMs together have placed on a server. */
