Load fewer classes at the start of a gateway

Class data sharing cannot be used, so each class and lambda costs processor time at each start. The time of a log line loaded java.time.format, and each step of the tick was a lambda of its own.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -44,6 +44,8 @@
   /** Time within which the connections are closed; the process exits in any case. */
   private static final long CLOSE_TIMEOUT_MILLIS = 50;
 
+  private static final Step[] STEPS = Step.values();
+
   private final Gateway gateway;
   private final GatewayServer server;
   private final RecordCache recordCache;
@@ -55,6 +57,28 @@
   private Instant idleCheckedAt = Instant.EPOCH;
   private boolean closing;
 
+  /**
+   * Step of the periodic work, in the order in which the steps run. A lambda for each would be a
+   * class of its own, which every process generates at its start.
+   */
+  private enum Step {
+    PAUSES("pauses"),
+    SERVERS("servers"),
+    SELECTION("selection"),
+    PEERS("peers"),
+    QUARANTINE("quarantine"),
+    ROLLOUTS("rollouts"),
+    CONNECTIONS("connections"),
+    MEMORY("memory"),
+    REPORTS("reports");
+
+    private final String label;
+
+    Step(String label) {
+      this.label = label;
+    }
+  }
+
   /**
    * Creates a process without opening its ports.
    *
@@ -101,15 +125,9 @@
    */
   private void tick() {
     Instant now = gateway.clock().instant();
-    runStep("pauses", () -> gateway.checkPause(now));
-    runStep("servers", () -> expireServers(now));
-    runStep("selection", gateway.serverSelector()::tick);
-    runStep("peers", () -> peers.tick(now));
-    runStep("quarantine", () -> gateway.quarantine().tick(convictionStore, now));
-    runStep("rollouts", () -> rolloutCoordinator.tick(now));
-    runStep("connections", () -> checkIdleConnections(now));
-    runStep("memory", () -> server.checkMemory(now));
-    runStep("reports", () -> reportPoller.tick(recordCache.isStoreUnavailable(), now));
+    for (Step step : STEPS) {
+      runStep(step.label, () -> run(step, now));
+    }
     gateway.active().forEach(exchange -> runStep("request", () -> exchange.tick(now)));
     runStep("queues", gateway::startQueued);
     if (gateway.isDraining() && !closing) {
@@ -117,6 +135,21 @@
     }
   }
 
+  private void run(Step step, Instant now) {
+    switch (step) {
+      case PAUSES -> gateway.checkPause(now);
+      case SERVERS -> expireServers(now);
+      case SELECTION -> gateway.serverSelector().tick();
+      case PEERS -> peers.tick(now);
+      case QUARANTINE -> gateway.quarantine().tick(convictionStore, now);
+      case ROLLOUTS -> rolloutCoordinator.tick(now);
+      case CONNECTIONS -> checkIdleConnections(now);
+      case MEMORY -> server.checkMemory(now);
+      case REPORTS -> reportPoller.tick(recordCache.isStoreUnavailable(), now);
+      default -> throw new IllegalArgumentException("unknown step " + step);
+    }
+  }
+
   private void runStep(String step, Runnable action) {
     IsolatedAction.run(LOG, "step_failed", field("step", step), action);
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/logging/BoundedLog.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/logging/BoundedLog.java
@@ -7,7 +7,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -29,6 +30,9 @@
   /** Maximum number of queued lines, of about 200 bytes each, while standard output is blocked. */
   private static final int MAX_QUEUED_LINES = 4_096;
 
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final int NANOS_PER_MILLI = 1_000_000;
+
   /**
    * Logger of the network library, which is switched off: lost connections are reported to their
    * users, which log them with the request, and the library would log each one again.
@@ -72,9 +76,22 @@
     }
   }
 
+  /**
+   * Formats a time as {@code Instant.toString} does, without {@code java.time.format}: a gateway
+   * needs its 25 classes and 3 lambdas for nothing else, and would load them at each start.
+   */
+  static String formatTime(long epochMillis) {
+    LocalDateTime time =
+        LocalDateTime.ofEpochSecond(
+            Math.floorDiv(epochMillis, MILLIS_PER_SECOND),
+            (int) Math.floorMod(epochMillis, MILLIS_PER_SECOND) * NANOS_PER_MILLI,
+            ZoneOffset.UTC);
+    // LocalDateTime leaves out seconds of zero.
+    return time + (time.getSecond() == 0 && time.getNano() == 0 ? ":00Z" : "Z");
+  }
+
   private static String formatLine(LogRecord record) {
-    StringBuilder line =
-        new StringBuilder("time=").append(Instant.ofEpochMilli(record.getMillis()));
+    StringBuilder line = new StringBuilder("time=").append(formatTime(record.getMillis()));
     line.append(" level=").append(record.getLevel().getName());
     Object request = MDC.get(StructuredLog.REQUEST);
     if (request != null) {
