Count requests up to the deadline of the stage after a restart

A gateway that restarts during an order took the time at which it read the order again as its start, so requests after the order's deadline raised its exposure limit for up to the whole duration. While the store is unavailable and the stage cannot change, it went on sending requests to the unproven version beyond the bound.

Once a state is known, its deadline decides which requests count. The new decision test fails for canary, shifting and draining without the change (3 of 3) and passes with it; RolloutTableTest, RolloutPlanTest and RolloutVersionTest pass (71 tests).

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
@@ -166,11 +166,16 @@
 
   /** Counts a request that is sent for the first time, if the bound counts it. */
   public void recordRequest(Instant now) {
-    if (readAt.plus(order.duration()).isAfter(now)) {
+    if (isBeforeDeadline(now)) {
       exposure.recordRequest();
     }
   }
 
+  /** A VM that has restarted reads the order late; the deadline in the state is the right one. */
+  private boolean isBeforeDeadline(Instant now) {
+    return state.isPresent() ? millisLeft(now) > 0 : readAt.plus(order.duration()).isAfter(now);
+  }
+
   /** Returns the part of the exposure limit that applies, given that the stage is not final. */
   ExposureLimit.Phase phase(Instant now) {
     if (state.filter(known -> known.stage() instanceof RolloutStage.Canary).isPresent()) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -14,6 +14,8 @@
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.gateway.VersionFilter;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against requests that are sent to a version that is not proven. */
 class RolloutTableTest {
@@ -209,6 +211,31 @@
     assertThat(rollout.exposure().hasCapacity(new ExposureLimit.Phase.Canary(1), 1), is(false));
   }
 
+  /**
+   * Guards against a VM that restarts during an order and then sends more than the bound permits to
+   * the version after the deadline, while the store is unavailable and the stage cannot change.
+   */
+  @ParameterizedTest
+  @CsvSource({"canary, 8", "shifting, 9", "draining, 11"})
+  void after_a_restart_the_deadline_of_the_stage_counts(String stage, int restartSecond) {
+    Instant deadline = START.plusSeconds(12);
+    table.onOrder(order("v2", 7), START.plusSeconds(restartSecond));
+    ServiceRollout rollout = table.find("plain").orElseThrow();
+    table.onState(
+        new RolloutState(
+            "plain",
+            7,
+            "v2",
+            Set.of("v1"),
+            deadline.toEpochMilli(),
+            RolloutStage.find(stage).orElseThrow(),
+            "test"));
+    for (int request = 0; request < 1_000; request++) {
+      rollout.recordRequest(deadline.plusMillis(500 + request));
+    }
+    assertThat(rollout.exposure().hasCapacity(new ExposureLimit.Phase.Full(), 1), is(false));
+  }
+
   /** Guards against an allowance that grows when VMs that have used their share are gone. */
   @Test
   void the_allowance_is_divided_by_the_largest_number_of_vms() {
