Test versions that turn bad in shifting and draining

The test of versions was checked only in the canary stage. Four cases turn a good version slow or failing in shifting (10 of 100 requests a second) and in draining (all of them, without responses of the old version).

--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
@@ -96,6 +97,55 @@
     assertThat(test.verdict(2).kind(), is(VersionTest.Kind.BAD));
   }
 
+  /**
+   * Guards against a version that turns bad after the canary stage and is found too late. In
+   * draining, the old version has no responses any more.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "shifting, 10,  90, 240, 0",
+    "shifting, 10,  90, 60,  0.5",
+    "draining, 100, 0,  240, 0",
+    "draining, 100, 0,  60,  0.5"
+  })
+  void a_version_that_turns_bad_later_is_found(
+      String stage, int newPerSecond, int oldPerSecond, int millis, double failures) {
+    VersionTest test = new VersionTest();
+    int time = 0;
+    for (; time < 9_000; time += 200) {
+      add(test, time, new int[] {90, 10}, 60, 0);
+    }
+    assertThat(test.verdict(3).kind(), is(VersionTest.Kind.GOOD));
+    int[] perSecond = {oldPerSecond, newPerSecond};
+    int start = time;
+    while (test.verdict(3).kind() != VersionTest.Kind.BAD && time < start + 4_000) {
+      add(test, time, perSecond, millis, failures);
+      time += 200;
+    }
+    assertThat(test.verdict(3).kind(), is(VersionTest.Kind.BAD));
+    // Less than the time to revert, of which the message to all VMs and the store need a part.
+    assertThat(time - start, is(lessThanOrEqualTo(2_000)));
+  }
+
+  /** Adds the responses of 200 ms: even, at 60 ms by the old version, spread over three servers. */
+  private static void add(
+      VersionTest test, int time, int[] perSecond, int millis, double failures) {
+    RolloutEvidence evidence = new RolloutEvidence();
+    for (int index = 0; index < (perSecond[0] + perSecond[1]) / 5; index++) {
+      boolean isNew = index >= perSecond[0] / 5;
+      int turn = index + time / 200;
+      String server = isNew ? "s-" + turn % 3 : "";
+      EvidenceKey key = new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", isNew, "a", server);
+      if (isNew && turn % 2 < 2 * failures) {
+        evidence.recordFailure(key);
+        continue;
+      }
+      evidence.recordSuccess(key);
+      evidence.recordTime(key, Duration.ofMillis(isNew ? millis : 60));
+    }
+    test.add(evidence.counts(), Instant.EPOCH.plusMillis(time));
+  }
+
   /** Results of many roll-outs with different seeds. */
   private static final class Tally {
     private int good;
