--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
@@ -171,7 +171,10 @@
     }
   }
 
-  /** A VM that has restarted reads the order late; the deadline in the state is the right one. */
+  /**
+   * Returns whether the bound counts requests that arrive now. The time at which the order was read
+   * shows the deadline only until the state is known, because a VM that restarts reads it late.
+   */
   private boolean isBeforeDeadline(Instant now) {
     return state.isPresent() ? millisLeft(now) > 0 : readAt.plus(order.duration()).isAfter(now);
   }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutTableTest.java
@@ -212,10 +212,11 @@
   }
 
   /**
-   * Guards against a VM that restarts during an order and then sends more than the bound permits to
-   * the version after the deadline, while the store is unavailable and the stage cannot change.
+   * Guards against a VM that restarts during an order and, after the deadline, sends more requests
+   * to the new version than the bound permits, while the store is unavailable and the stage cannot
+   * change.
    */
-  @ParameterizedTest
+  @ParameterizedTest(name = "{0}, restart at second {1}")
   @CsvSource({"canary, 8", "shifting, 9", "draining, 11"})
   void after_a_restart_the_deadline_of_the_stage_counts(String stage, int restartSecond) {
     Instant deadline = START.plusSeconds(12);
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
@@ -99,9 +99,9 @@
 
   /**
    * Guards against a version that turns bad after the canary stage and is found too late. In
-   * draining, the old version has no responses any more.
+   * draining, the old version may have no responses any more.
    */
-  @ParameterizedTest
+  @ParameterizedTest(name = "{0}, {3} ms, failures {4}")
   @CsvSource({
     "shifting, 10,  90, 240, 0",
     "shifting, 10,  90, 60,  0.5",
@@ -113,35 +113,43 @@
     VersionTest test = new VersionTest();
     int time = 0;
     for (; time < 9_000; time += 200) {
-      add(test, time, new int[] {90, 10}, 60, 0);
+      add(test, time, 90, 10, 60, 0);
     }
     assertThat(test.verdict(3).kind(), is(VersionTest.Kind.GOOD));
-    int[] perSecond = {oldPerSecond, newPerSecond};
     int start = time;
     while (test.verdict(3).kind() != VersionTest.Kind.BAD && time < start + 4_000) {
-      add(test, time, perSecond, millis, failures);
+      add(test, time, oldPerSecond, newPerSecond, millis, failures);
       time += 200;
     }
     assertThat(test.verdict(3).kind(), is(VersionTest.Kind.BAD));
-    // Less than the time to revert, of which the message to all VMs and the store need a part.
+    // The rest of the 5 s to revert is for the message to all VMs and the write to the store.
     assertThat(time - start, is(lessThanOrEqualTo(2_000)));
   }
 
-  /** Adds the responses of 200 ms: even, at 60 ms by the old version, spread over three servers. */
+  /**
+   * Adds the responses of 200 ms. The old version responds in 60 ms.
+   *
+   * @param millis response time of the new version
+   * @param failures part of the new version's responses that fail, either 0 or 0.5
+   */
   private static void add(
-      VersionTest test, int time, int[] perSecond, int millis, double failures) {
+      VersionTest test, int time, int oldPerSecond, int newPerSecond, int millis, double failures) {
     RolloutEvidence evidence = new RolloutEvidence();
-    for (int index = 0; index < (perSecond[0] + perSecond[1]) / 5; index++) {
-      boolean isNew = index >= perSecond[0] / 5;
-      int turn = index + time / 200;
-      String server = isNew ? "s-" + turn % 3 : "";
-      EvidenceKey key = new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", isNew, "a", server);
-      if (isNew && turn % 2 < 2 * failures) {
+    EvidenceKey old = new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", false, "a", "");
+    for (int response = 0; response < oldPerSecond / 5; response++) {
+      evidence.recordSuccess(old);
+      evidence.recordTime(old, Duration.ofMillis(60));
+    }
+    for (int response = 0; response < newPerSecond / 5; response++) {
+      int turn = response + time / 200;
+      EvidenceKey key =
+          new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", true, "a", "s-" + turn % 3);
+      if (failures > 0 && turn % 2 == 0) {
         evidence.recordFailure(key);
-        continue;
+      } else {
+        evidence.recordSuccess(key);
+        evidence.recordTime(key, Duration.ofMillis(millis));
       }
-      evidence.recordSuccess(key);
-      evidence.recordTime(key, Duration.ofMillis(isNew ? millis : 60));
     }
     test.add(evidence.counts(), Instant.EPOCH.plusMillis(time));
   }
