Compare versions only by times that show the load of the servers

A good version was found slow in a roll-out of streams for two reasons. Times that span a stop of the gateway's own event loop counted as evidence, although paces and hedging already ignore them. And from the switch on, old servers count as leaving and gave no evidence, so the load of moved and queued streams, which slows down both versions, was attributed to the new one alone.

EvidenceRules decides both: a time that spans a pause of the process is not counted (failures are), and servers that count as leaving only because a roll-out replaces them still give the comparison. A server that announces that it leaves, or whose entry disappears, gives none; its mark now replaces that of the roll-out, which hid it before.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LeavingServers.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LeavingServers.java
@@ -45,14 +45,19 @@
   private record Mark(ServerInstance server, Source source, Instant at) {}
 
   /**
-   * Marks a server as leaving.
+   * Marks a server as leaving. The mark of a roll-out is replaced by one from any other source,
+   * because the server then ends by itself.
    *
    * @param source how this became known
    * @return whether the server was not yet marked
    */
   public boolean markLeaving(ServerInstance server, Source source, Instant now) {
     tick(now);
-    return marks.putIfAbsent(server.id(), new Mark(server, source, now)) == null;
+    boolean isNew = !marks.containsKey(server.id());
+    if (isNew || (isOnlyReplaced(server.id()) && source != Source.REPLACED)) {
+      marks.put(server.id(), new Mark(server, source, now));
+    }
+    return isNew;
   }
 
   /** Drops the marks that are older than {@link #RETENTION}. */
@@ -96,6 +101,16 @@
     return marks.containsKey(serverId);
   }
 
+  /**
+   * Returns whether a server counts as leaving only because a roll-out replaces it.
+   *
+   * @return whether its only mark is that of a roll-out
+   */
+  public boolean isOnlyReplaced(String serverId) {
+    Mark mark = marks.get(serverId);
+    return mark != null && mark.source() == Source.REPLACED;
+  }
+
   /**
    * Returns the last known description of a leaving server, also when it is no longer listed.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -124,7 +124,7 @@
                 startedAt,
                 servers,
                 serverSelector));
-    this.rollouts = new Rollouts(this);
+    this.rollouts = new Rollouts(this, pauses);
     setVmCount(1);
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -13,9 +13,11 @@
 import java.util.stream.Collectors;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.LeavingServers;
+import org.cactusseam.logic.gateway.ProcessPauses;
 import org.cactusseam.logic.gateway.ServerSelector;
 import org.cactusseam.logic.rollout.CoordinatorRank;
 import org.cactusseam.logic.rollout.EvidenceKey;
+import org.cactusseam.logic.rollout.EvidenceRules;
 import org.cactusseam.logic.rollout.RolloutEvidence;
 import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.logic.rollout.RolloutTable;
@@ -52,6 +54,7 @@
   private static final double WARM_UP_PROGRESS = 0.25;
 
   private final Gateway gateway;
+  private final EvidenceRules rules;
   private final Optional<RolloutTable> table;
   private final Set<String> drainingServices = new HashSet<>();
 
@@ -63,8 +66,9 @@
     ABORTED
   }
 
-  Rollouts(Gateway gateway) {
+  Rollouts(Gateway gateway, ProcessPauses pauses) {
     this.gateway = gateway;
+    this.rules = new EvidenceRules(gateway.leavingServers(), pauses);
     this.table =
         gateway
             .settings()
@@ -360,20 +364,23 @@
                 + "\"}");
     RolloutEvidence evidence = rollout.get().evidence();
     EvidenceKey key = key(EvidenceKey.Measure.RESPONSE, route, rollout.get(), server);
-    Duration time = Duration.between(sentAt, gateway.clock().instant());
     if (outcome == Outcome.FAILURE) {
       evidence.recordFailure(key);
     } else if (outcome == Outcome.SUCCESS) {
       evidence.recordSuccess(key);
-      recordTime(evidence, key, server, time);
-    } else if (time.compareTo(route.targetLatency()) >= 0) {
+      recordTime(evidence, key, server, sentAt);
+    } else if (!sentAt.plus(route.targetLatency()).isAfter(gateway.clock().instant())) {
       // The answer would have taken longer. An aborted request of a short time says nothing.
-      recordTime(evidence, key, server, time);
+      recordTime(evidence, key, server, sentAt);
     }
   }
 
-  /** Records how long a fixed number of events of a stream took. */
-  void recordEvents(GatewayRoute route, ServerInstance server, Duration time) {
+  /**
+   * Records the time of a fixed number of events of a stream, the last of which arrives now.
+   *
+   * @param firstEventAt time at which the stream's first event arrived
+   */
+  void recordEvents(GatewayRoute route, ServerInstance server, Instant firstEventAt) {
     evidenceOf(server)
         .ifPresent(
             rollout ->
@@ -381,15 +388,15 @@
                     rollout.evidence(),
                     key(EvidenceKey.Measure.EVENTS, route, rollout, server),
                     server,
-                    time));
+                    firstEventAt));
   }
 
   /** Times across regions, and of servers that warm up, do not show the pace of a version. */
   private void recordTime(
-      RolloutEvidence evidence, EvidenceKey key, ServerInstance server, Duration time) {
-    if (isOwnRegion(server)
-        && !gateway.servers().isWarmingUp(server.id(), gateway.clock().instant())) {
-      evidence.recordTime(key, time);
+      RolloutEvidence evidence, EvidenceKey key, ServerInstance server, Instant from) {
+    Instant now = gateway.clock().instant();
+    if (isOwnRegion(server) && !gateway.servers().isWarmingUp(server.id(), now)) {
+      rules.recordTime(evidence, key, from, now);
     }
   }
 
@@ -401,10 +408,9 @@
     return RolloutEvidence.key(measure, route.name(), rollout.isNew(server), server);
   }
 
-  /** A server that is leaving breaks off its requests whatever its version is. */
   private Optional<ServiceRollout> evidenceOf(ServerInstance server) {
-    return gateway.leavingServers().isLeaving(server.id())
-        ? Optional.empty()
-        : find(server.service()).filter(ServiceRollout::isGatheringEvidence);
+    return rules.isEvidence(server)
+        ? find(server.service()).filter(ServiceRollout::isGatheringEvidence)
+        : Optional.empty();
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOutcome.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOutcome.java
@@ -1,6 +1,5 @@
 package org.cactusseam.edge.gateway;
 
-import java.time.Duration;
 import java.time.Instant;
 import org.cactusseam.model.gateway.GatewayRoute;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -44,7 +43,7 @@
         record(Rollouts.Outcome.SUCCESS);
       }
     } else if (events == 1 + MEASURED_EVENTS) {
-      gateway.rollouts().recordEvents(route, server, Duration.between(firstEventAt, now));
+      gateway.rollouts().recordEvents(route, server, firstEventAt);
     }
   }
 
