--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ServiceRollout.java
@@ -166,11 +166,19 @@
 
   /** Counts a request that is sent for the first time, if the bound counts it. */
   public void recordRequest(Instant now) {
-    if (readAt.plus(order.duration()).isAfter(now)) {
+    if (isBeforeDeadline(now)) {
       exposure.recordRequest();
     }
   }
 
+  /**
+   * Returns whether the bound counts requests that arrive now. The time at which the order was read
+   * shows the deadline only until the state is known, because a VM that restarts reads it late.
+   */
+  private boolean isBeforeDeadline(Instant now) {
+    return state.isPresent() ? millisLeft(now) > 0 : readAt.plus(order.duration()).isAfter(now);
+  }
+
   /** Returns the part of the exposure limit that applies, given that the stage is not final. */
   ExposureLimit.Phase phase(Instant now) {
     if (state.filter(known -> known.stage() instanceof RolloutStage.Canary).isPresent()) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/RolloutVersionTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
@@ -96,6 +97,63 @@
     assertThat(test.verdict(2).kind(), is(VersionTest.Kind.BAD));
   }
 
+  /**
+   * Guards against a version that turns bad after the canary stage and is found too late. In
+   * draining, the old version may have no responses any more.
+   */
+  @ParameterizedTest(name = "{0}, {3} ms, failures {4}")
+  @CsvSource({
+    "shifting, 10,  90, 240, 0",
+    "shifting, 10,  90, 60,  0.5",
+    "draining, 100, 0,  240, 0",
+    "draining, 100, 0,  60,  0.5"
+  })
+  void a_version_that_turns_bad_later_is_found(
+      String stage, int newPerSecond, int oldPerSecond, int millis, double failures) {
+    VersionTest test = new VersionTest();
+    int time = 0;
+    for (; time < 9_000; time += 200) {
+      add(test, time, 90, 10, 60, 0);
+    }
+    assertThat(test.verdict(3).kind(), is(VersionTest.Kind.GOOD));
+    int start = time;
+    while (test.verdict(3).kind() != VersionTest.Kind.BAD && time < start + 4_000) {
+      add(test, time, oldPerSecond, newPerSecond, millis, failures);
+      time += 200;
+    }
+    assertThat(test.verdict(3).kind(), is(VersionTest.Kind.BAD));
+    // The rest of the 5 s to revert is for the message to all VMs and the write to the store.
+    assertThat(time - start, is(lessThanOrEqualTo(2_000)));
+  }
+
+  /**
+   * Adds the responses of 200 ms. The old version responds in 60 ms.
+   *
+   * @param millis response time of the new version
+   * @param failures part of the new version's responses that fail, either 0 or 0.5
+   */
+  private static void add(
+      VersionTest test, int time, int oldPerSecond, int newPerSecond, int millis, double failures) {
+    RolloutEvidence evidence = new RolloutEvidence();
+    EvidenceKey old = new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", false, "a", "");
+    for (int response = 0; response < oldPerSecond / 5; response++) {
+      evidence.recordSuccess(old);
+      evidence.recordTime(old, Duration.ofMillis(60));
+    }
+    for (int response = 0; response < newPerSecond / 5; response++) {
+      int turn = response + time / 200;
+      EvidenceKey key =
+          new EvidenceKey(EvidenceKey.Measure.RESPONSE, "r", true, "a", "s-" + turn % 3);
+      if (failures > 0 && turn % 2 == 0) {
+        evidence.recordFailure(key);
+      } else {
+        evidence.recordSuccess(key);
+        evidence.recordTime(key, Duration.ofMillis(millis));
+      }
+    }
+    test.add(evidence.counts(), Instant.EPOCH.plusMillis(time));
+  }
+
   /** Results of many roll-outs with different seeds. */
   private static final class Tally {
     private int good;
