--- a/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/hedging/HedgeDecisionTest.java
@@ -261,6 +261,38 @@
     assertThat(chosen.matches("s-[135]"), is(true));
   }
 
+  /**
+   * Guards against a second attempt at a server whose own attempts always lose against a second
+   * one, so that no response shows that it is slow.
+   */
+  @Test
+  void a_server_hidden_by_faster_second_attempts_gets_no_second_attempt() {
+    ServerInstance hidden = instances.get(2);
+    for (ServerInstance leaving : instances.subList(4, SERVERS)) {
+      leavingServers.markLeaving(leaving, LeavingServers.Source.values()[0], clock.instant());
+    }
+    // The others have more load, so that the hidden one would be chosen.
+    for (int number : new int[] {0, 3}) {
+      loads.addRun(instances.get(number).id(), 0);
+      loads.addRun(instances.get(number).id(), 0);
+    }
+    assertThat(serverOf(decide(slow(hidden))), is(not(hidden.id())));
+
+    assertThat(serverOf(decide(slow(instances.get(1)))), is(not(hidden.id())));
+  }
+
+  /** Guards against an estimate without the slow attempts that lost, which hedges ever more. */
+  @Test
+  void attempts_that_lost_keep_the_threshold_up() {
+    Duration untilSecondWon = USUAL.multipliedBy(2);
+    for (int number = 0; number < 100; number++) {
+      boolean isLost = number % 5 == 0;
+      record(instances.get(number % SERVERS), isLost ? untilSecondWon : USUAL);
+    }
+
+    assertThat(policy.threshold(ROUTE, clock.instant().plusSeconds(1)).get(), is(untilSecondWon));
+  }
+
   @Test
   void nothing_is_hedged_while_most_servers_are_slow() {
     for (int number = 1; number < SERVERS - 1; number++) {
