Add the version of a backend server to the operators' language

Roll-outs of a pool need to tell its old servers from its new ones. `create server` and `change server` take an optional `version "TEXT"` at the end, and `show servers` has a column for it. A server without one has the empty version.

Records and peer messages omit an empty version, so those of deployments that do not use the attribute are encoded as before.

CommandPropertiesTest and PeerCodecTest cover the new attribute.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/Attributes.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/Attributes.java
@@ -105,6 +105,7 @@
    * @param coldLimit maximum number of concurrent requests during cold start
    * @param warmLimit maximum number of concurrent requests when warm
    * @param memoryTokens capacity of the engine's KV cache, in tokens
+   * @param version version of the server's software
    */
   record OfServer(
       Optional<PoolName> pool,
@@ -114,7 +115,8 @@
       Optional<Boolean> checksFencing,
       Optional<Integer> coldLimit,
       Optional<Integer> warmLimit,
-      Optional<Long> memoryTokens)
+      Optional<Long> memoryTokens,
+      Optional<String> version)
       implements Attributes {
     @Override
     public ObjectKind kind() {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandParser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandParser.java
@@ -290,7 +290,27 @@
         attribute("fencing", TokenParsers.choice("checked", "ignored"), required),
         attribute("cold-limit", TokenParsers.integer(1, MAX_COUNT), required),
         attribute("warm-limit", TokenParsers.integer(1, MAX_COUNT), required),
+        memoryAndVersion(),
+        (pool, domain, kind, address, fencing, coldLimit, warmLimit, last) ->
+            new Attributes.OfServer(
+                pool,
+                domain,
+                kind,
+                address,
+                fencing,
+                coldLimit,
+                warmLimit,
+                last.memory,
+                last.version));
+  }
+
+  /** Last attributes of a server; the library combines at most eight parsers at a time. */
+  private record MemoryAndVersion(Optional<Long> memory, Optional<String> version) {}
+
+  private static Parser<MemoryAndVersion> memoryAndVersion() {
+    return Parsers.sequence(
         attribute("memory", TokenParsers.number(0, MAX_MEMORY_TOKENS), false),
-        Attributes.OfServer::new);
+        attribute("version", TokenParsers.text("a version"), false),
+        MemoryAndVersion::new);
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandPrinter.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandPrinter.java
@@ -123,6 +123,7 @@
         words.add("cold-limit", of.coldLimit());
         words.add("warm-limit", of.warmLimit());
         words.add("memory", of.memoryTokens());
+        words.add("version", of.version().map(CommandPrinter::quoted));
       }
     }
     return words.joined();
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/ConfigurationObjectFactory.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/ConfigurationObjectFactory.java
@@ -69,7 +69,8 @@
             of.coldLimit().orElseThrow(),
             of.warmLimit().orElseThrow(),
             of.memoryTokens().orElse(0L),
-            ServiceState.IN));
+            ServiceState.IN,
+            of.version().orElse("")));
   }
 
   private static BackendServer requireEngineMemory(BackendServer server) {
@@ -140,6 +141,7 @@
             of.coldLimit().orElse(old.coldLimit()),
             of.warmLimit().orElse(old.warmLimit()),
             of.memoryTokens().orElse(old.memoryTokens()),
-            old.state()));
+            old.state(),
+            of.version().orElse(old.version())));
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/QueryResults.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/QueryResults.java
@@ -62,6 +62,7 @@
             "cold",
             "warm",
             "memory",
+            "version",
             "state",
             "serves",
             "revision"),
@@ -78,6 +79,7 @@
                     server.coldLimit(),
                     server.warmLimit(),
                     server.memoryTokens(),
+                    server.version(),
                     TokenParsers.lowerCase(server.state()),
                     configuration.isInService(server) ? "yes" : "no",
                     revision(server))));
--- a/cactusseam-core/src/main/java/org/cactusseam/model/BackendServer.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/BackendServer.java
@@ -1,5 +1,9 @@
 package org.cactusseam.model;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
+
 /**
  * Configuration of a backend server: a model engine or plain service that executes requests.
  *
@@ -14,6 +18,8 @@
  * @param warmLimit limit on concurrent requests when warm; not below the cold limit
  * @param memoryTokens capacity of the engine memory, in tokens; 0 for plain services
  * @param state whether new work may be sent to the server
+ * @param version version of the server's software; empty if none is stated. Records omit an empty
+ *     version, so that they equal those of daemons that do not know the attribute.
  */
 public record BackendServer(
     BackendServerName name,
@@ -26,7 +32,8 @@
     int coldLimit,
     int warmLimit,
     long memoryTokens,
-    ServiceState state)
+    ServiceState state,
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) @JsonSetter(nulls = Nulls.AS_EMPTY) String version)
     implements ConfigurationObject {
 
   /** Rejects limits that are not positive or decrease from cold to warm. */
@@ -37,6 +44,34 @@
     }
   }
 
+  /** Creates a server without a version. */
+  public BackendServer(
+      BackendServerName name,
+      PoolName pool,
+      FailureDomainName domain,
+      BackendKind kind,
+      String host,
+      int port,
+      boolean checksFencing,
+      int coldLimit,
+      int warmLimit,
+      long memoryTokens,
+      ServiceState state) {
+    this(
+        name,
+        pool,
+        domain,
+        kind,
+        host,
+        port,
+        checksFencing,
+        coldLimit,
+        warmLimit,
+        memoryTokens,
+        state,
+        "");
+  }
+
   /**
    * Returns a copy in another service state.
    *
@@ -55,7 +90,8 @@
         coldLimit,
         warmLimit,
         memoryTokens,
-        newState);
+        newState,
+        version);
   }
 
   @Override
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandParserTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandParserTest.java
@@ -42,6 +42,10 @@
             + " checked cold-limit 2 warm-limit 16 memory 200000",
         "create server w1 pool zopf-llm domain ost-wien kind plain address [2001:db8::1]:80 fencing"
             + " ignored cold-limit 2 warm-limit 16",
+        "create server w1 pool p domain d kind plain address 10.0.0.1:80 fencing ignored"
+            + " cold-limit 2 warm-limit 16 version \"v 1.2\"",
+        "change server w1 memory 7 version \"v2\"",
+        "change server version version \"v2\"",
         "change class gold rank 1",
         "if revision 12 change account resi share 30",
         "change account resi key-hash HASH",
@@ -102,6 +106,8 @@
           if revision 1 create class c rank 1; line 1, column 15: expected 'bring' or 'change' or 'remove' or 'take', found 'create'
           change class gold; line 1, column 18: expected an attribute, found the end
           change class gold share 3; line 1, column 19: expected 'may-wait' or 'rank' or the end, found 'share'
+          change server w1 version v2; line 1, column 26: expected a version in double quotes, 1 to 256 characters, found 'v2'
+          change server w1 version "v2" memory 7; line 1, column 31: expected the end, found 'memory'
           take server w1; line 1, column 15: expected 'out', found the end
           take account a out; line 1, column 6: expected 'domain' or 'server', found 'account'
           load model zopf on server w1; line 1, column 12: expected a name in double quotes, 1 to 256 characters, found 'zopf'
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandPropertiesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandPropertiesTest.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -86,6 +87,9 @@
         Arbitraries.longs().between(0, 999_999_999_999_999_999L).map(OptionalLong::of));
   }
 
+  /** The library combines at most eight values at a time. */
+  private record Limits(Optional<Integer> cold, Optional<Integer> warm) {}
+
   private static Arbitrary<Attributes> attributes(boolean required) {
     double absent = required ? 0 : 0.4;
     Arbitrary<Integer> counts = Arbitraries.integers().between(1, 1_000_000);
@@ -123,10 +127,22 @@
                     .as(Address::new)
                     .optional(1 - absent),
                 flags.optional(1 - absent),
-                counts.optional(1 - absent),
-                counts.optional(1 - absent),
-                Arbitraries.longs().between(0, 1_000_000_000_000L).optional(0.5))
-            .as(Attributes.OfServer::new));
+                Combinators.combine(counts.optional(1 - absent), counts.optional(1 - absent))
+                    .as(Limits::new),
+                Arbitraries.longs().between(0, 1_000_000_000_000L).optional(0.5),
+                texts().optional(0.5))
+            .as(
+                (pool, domain, kind, address, fencing, limits, memory, version) ->
+                    new Attributes.OfServer(
+                        pool,
+                        domain,
+                        kind,
+                        address,
+                        fencing,
+                        limits.cold,
+                        limits.warm,
+                        memory,
+                        version)));
   }
 
   private static boolean specifiesAttributes(Command.Change command) {
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/query/OrderTranslatorTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/query/OrderTranslatorTest.java
@@ -88,6 +88,7 @@
           change class bulk may-wait no; rank=9, mayWait=false
           change route r deadline 7s; model=Optional[m], pool=llm, kind=ENGINE, repeatable=true, deadlineMillis=7000
           change server w1 warm-limit 9; host=10.0.0.1, port=80, checksFencing=true, coldLimit=2, warmLimit=9, memoryTokens=1000, state=IN
+          change server w1 version "v2"; coldLimit=2, warmLimit=8, memoryTokens=1000, state=IN, version=v2
           take server w1 out; warmLimit=8, memoryTokens=1000, state=OUT
           take domain wien out; region=ost, state=OUT
           change domain wien region west; region=west, state=IN
@@ -99,6 +100,22 @@
     assertThat(translation.toString(), containsString(expected));
   }
 
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      textBlock =
+          """
+          change server w1 warm-limit 9; warmLimit=9, memoryTokens=1000, state=IN, version=v1
+          take server w1 out; state=OUT, version=v1
+          change server w1 version "v1"; Unchanged
+          create server w1 pool llm domain wien kind engine address 10.0.0.1:80 fencing checked cold-limit 2 warm-limit 8 memory 1000; exists with other attributes
+          """)
+  void a_stated_version_is_kept_until_another_one_is_stated(String text, String expected) {
+    apply("change server w1 version \"v1\"");
+
+    assertThat(translate(text).toString(), containsString(expected));
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = ';',
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/query/ResultTableTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/query/ResultTableTest.java
@@ -40,7 +40,8 @@
               1,
               8,
               1000,
-              ServiceState.IN),
+              ServiceState.IN,
+              "v2"),
           4);
   private static final List<RequestSummary> REQUESTS =
       List.of(
@@ -120,6 +121,7 @@
                     1,
                     8,
                     1000,
+                    "v2",
                     "in",
                     "no",
                     4))));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/peer/PeerCodec.java
@@ -2,18 +2,27 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.BeanDescription;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationConfig;
+import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.introspect.Annotated;
 import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.BeanPropertyWriter;
+import com.fasterxml.jackson.databind.ser.BeanSerializerModifier;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vavr.control.Try;
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Objects;
+import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.message.PeerMessage;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePack;
@@ -39,6 +48,7 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper(new MessagePackFactory())
           .registerModule(new Jdk8Module())
+          .registerModule(new SimpleModule().setSerializerModifier(new OmittedVersions()))
           .setAnnotationIntrospector(new RecordsAsArrays())
           .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
 
@@ -62,6 +72,42 @@
     }
   }
 
+  /**
+   * Omits the last element of a backend server without a version, so that its array equals the one
+   * of daemons that do not know the attribute.
+   */
+  private static final class OmittedVersions extends BeanSerializerModifier {
+
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    public List<BeanPropertyWriter> changeProperties(
+        SerializationConfig config, BeanDescription type, List<BeanPropertyWriter> properties) {
+      return type.getBeanClass() == BackendServer.class
+          ? properties.stream()
+              .map(each -> each.getName().equals("version") ? new VersionWriter(each) : each)
+              .toList()
+          : properties;
+    }
+  }
+
+  private static final class VersionWriter extends BeanPropertyWriter {
+
+    private static final long serialVersionUID = 1L;
+
+    VersionWriter(BeanPropertyWriter base) {
+      super(base);
+    }
+
+    @Override
+    public void serializeAsElement(
+        Object bean, JsonGenerator generator, SerializerProvider provider) throws Exception {
+      if (!((BackendServer) bean).version().isEmpty()) {
+        super.serializeAsElement(bean, generator, provider);
+      }
+    }
+  }
+
   private PeerCodec() {}
 
   /**
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -18,6 +18,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.cactusseam.model.AccountName;
+import org.cactusseam.model.BackendKind;
+import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.FailureDomain;
 import org.cactusseam.model.FailureDomainName;
@@ -181,7 +183,27 @@
         new PeerMessage.AskOrderToken(1_207),
         new PeerMessage.OrderToken(1_207),
         new PeerMessage.ListRequests(1),
-        new PeerMessage.RequestList(1, new NodeName("entry-1"), List.of(SUMMARY)));
+        new PeerMessage.RequestList(1, new NodeName("entry-1"), List.of(SUMMARY)),
+        new PeerMessage.Restriction(serverChange("")),
+        new PeerMessage.Restriction(serverChange("v2")));
+  }
+
+  private static ControlRecord.Change serverChange(String version) {
+    BackendServer server =
+        new BackendServer(
+            SERVER,
+            SHARD.pool(),
+            new FailureDomainName("ost-wien"),
+            BackendKind.PLAIN,
+            "127.0.0.1",
+            80,
+            true,
+            1,
+            2,
+            0,
+            ServiceState.IN,
+            version);
+    return new ControlRecord.Change("c1", server.key(), 3, Optional.of(server), "operator");
   }
 
   @ParameterizedTest
@@ -223,7 +245,7 @@
 
   @Property(tries = 10_000, seed = "4712")
   void changed_bytes_of_a_message_never_raise_an_exception(
-      @ForAll @IntRange(max = 31) int index, @ForAll int position, @ForAll byte replacement) {
+      @ForAll @IntRange(max = 33) int index, @ForAll int position, @ForAll byte replacement) {
     PeerMessage message = messages().toList().get(index);
     Buffer frame = PeerCodec.encode(message);
     byte[] value = frame.getBytes(PeerCodec.LENGTH_BYTES, frame.length());
@@ -234,7 +256,7 @@
 
   @Property(tries = 10_000, seed = "4713")
   void frames_do_not_depend_on_how_the_bytes_are_split(
-      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 31) Integer> indexes,
+      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 33) Integer> indexes,
       @ForAll @IntRange(min = 1, max = 40) int chunkBytes) {
     List<PeerMessage> sent = indexes.stream().map(messages().toList()::get).toList();
     Buffer bytes = Buffer.buffer();
