--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.cactusseam.logic.admission.ServerChooser.Obstacle;
+import org.cactusseam.logic.rollout.ShardRollout;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
@@ -65,6 +66,7 @@
   private final DeadlineRule deadlineRule;
   private final RetryBudget retryBudget;
   private final StartPause startPause;
+  private final ShardRollout rollout;
   private Configuration configuration = Configuration.EMPTY;
   private long epoch;
   private long sequence;
@@ -86,7 +88,8 @@
     this.clock = clock;
     this.settings = settings;
     this.waiting = new WaitingAttempts(settings.uses(AdmissionFeature.FAIR_SHARES));
-    this.chooser = new ServerChooser(settings);
+    this.rollout = new ShardRollout(id);
+    this.chooser = new ServerChooser(settings, rollout);
     this.reservations = new Reservations(settings);
     this.deadlineRule = new DeadlineRule(settings, serviceRate);
     this.retryBudget = new RetryBudget(settings.retryPart());
@@ -109,6 +112,7 @@
   public void configure(
       List<BackendServer> newServers, Configuration newConfiguration, long newEpoch) {
     configuration = newConfiguration;
+    rollout.configure(newConfiguration);
     epoch = newEpoch;
     Set<BackendServerName> names =
         newServers.stream().map(BackendServer::name).collect(Collectors.toSet());
@@ -121,12 +125,21 @@
     for (BackendServer server : newServers) {
       servers
           .computeIfAbsent(server.name(), name -> new ServerState(server, settings))
-          .configure(server, configuration.isInService(server), clock.millis());
+          .configure(server, isInService(server), clock.millis());
     }
     ledgers.configure(configuration);
     admitWaiting();
   }
 
+  private boolean isInService(BackendServer server) {
+    return configuration.isInService(server) && rollout.permits(server.version());
+  }
+
+  /** Returns the part of a roll-out of the pool that this shard carries out. */
+  public ShardRollout rollout() {
+    return rollout;
+  }
+
   /**
    * Sets whether the owner's lease is valid. No permit is granted while it is not.
    *
@@ -316,6 +329,16 @@
   public void tick() {
     long now = clock.millis();
     servers.values().forEach(server -> server.tick(now));
+    if (rollout.tick(clock.instant())) {
+      servers
+          .values()
+          .forEach(
+              server ->
+                  server.configure(
+                      server.description(),
+                      server.inService() && isInService(server.description()),
+                      now));
+    }
     for (Attempt attempt :
         waiting.select(each -> now - each.lastRequestedAt > REQUESTER_TIMEOUT_MILLIS)) {
       dropWaiting(attempt);
@@ -336,20 +359,7 @@
 
   /** Returns a summary of the present load, for requesters that choose between shards. */
   public ShardLoad load() {
-    int limit =
-        servers.values().stream()
-            .filter(ServerState::inService)
-            .mapToInt(server -> Math.min(server.limit(), server.description().warmLimit()))
-            .sum();
-    long now = clock.millis();
-    int ahead = 0;
-    List<Long> waits = new ArrayList<>();
-    for (int rank = 0; rank < WaitingAttempts.RANKS; rank++) {
-      ahead += waiting.size(rank);
-      waits.add((long) serviceRate.waitMillis(ahead, open, now));
-    }
-    double perAttempt = serviceRate.waitMillis(1, open, now);
-    return new ShardLoad(waiting.size(), open, limit, perAttempt, waits);
+    return LoadSummary.of(servers.values(), waiting, serviceRate, open, clock.millis());
   }
 
   /** Returns and removes the decisions made since the last call, in order. */
@@ -506,22 +516,14 @@
     Permit permit = new Permit(attempt.request.id(), id, server.description().name(), epoch);
     waiting.remove(attempt);
     start(attempt, server, permit);
+    rollout.recordGrant(server.description().version(), !attempt.request.excluded().isEmpty());
     serviceRate.recordGrant(clock.millis());
     server.cache.recordDispatch(attempt.request.prefixHashes());
     decisions.add(new AdmissionDecision.Granted(permit));
   }
 
   private void start(Attempt attempt, ServerState server, Permit permit) {
-    attempt.server = server;
-    attempt.permit = permit;
-    attempt.grantedAt = clock.millis();
-    attempt.progressAt = attempt.grantedAt;
-    attempt.estimate();
-    attempt.chargedTokens = attempt.expectedTotal();
-    attempt.ledger.charge(attempt.chargedTokens);
-    attempt.ledger.addAttempt(attempt.promptTokens + attempt.chargedTokens);
-    attempt.ledger.addHeldMemory(attempt.promptTokens);
-    attempt.chargedMemory = attempt.promptTokens + attempt.chargedTokens;
+    attempt.start(server, permit, clock.millis());
     server.open(attempt, attempt.grantedAt);
     open++;
   }
@@ -560,9 +562,7 @@
 
   private void release(Attempt attempt) {
     attempts.remove(attempt.request.id());
-    attempt.ledger.charge(attempt.tokens - attempt.chargedTokens);
-    attempt.ledger.removeAttempt(attempt.chargedMemory);
-    attempt.ledger.addHeldMemory(-attempt.promptTokens - attempt.tokens);
+    attempt.settle();
     ServerState server = attempt.server;
     if (server != null) {
       server.close(attempt);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
@@ -80,4 +80,25 @@
   void estimate() {
     expectedTotal = lengthHistograms.expectedTotal(tokens, request.maximumTokens());
   }
+
+  /** Starts this attempt on a server and charges its account for the expected tokens and memory. */
+  void start(ServerState onServer, Permit granted, long now) {
+    server = onServer;
+    permit = granted;
+    grantedAt = now;
+    progressAt = now;
+    estimate();
+    chargedTokens = expectedTotal();
+    ledger.charge(chargedTokens);
+    ledger.addAttempt(promptTokens + chargedTokens);
+    ledger.addHeldMemory(promptTokens);
+    chargedMemory = promptTokens + chargedTokens;
+  }
+
+  /** Corrects the charges of the account when this attempt has ended. */
+  void settle() {
+    ledger.charge(tokens - chargedTokens);
+    ledger.removeAttempt(chargedMemory);
+    ledger.addHeldMemory(-promptTokens - tokens);
+  }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -1,9 +1,11 @@
 package org.cactusseam.logic.admission;
 
 import com.google.common.collect.Lists;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import org.cactusseam.logic.rollout.ShardRollout;
 import org.cactusseam.model.ShardId;
 import org.jspecify.annotations.Nullable;
 
@@ -37,6 +39,7 @@
   private static final double PROMPT_TOKENS_PER_STREAM = 10;
 
   private final AdmissionSettings settings;
+  private final ShardRollout rollout;
   private final List<ServerState> candidates = new ArrayList<>();
   private Obstacle obstacle = Obstacle.NONE;
   private double[] bounds = new double[ShardId.MAXIMUM_SERVERS];
@@ -44,8 +47,9 @@
   private PlacementRule placementRule = PlacementRule.NONE;
   private int roundRobinIndex;
 
-  ServerChooser(AdmissionSettings settings) {
+  ServerChooser(AdmissionSettings settings, ShardRollout rollout) {
     this.settings = settings;
+    this.rollout = rollout;
   }
 
   void setPlacementRule(PlacementRule rule) {
@@ -72,7 +76,9 @@
     candidates.clear();
     boolean excluded = false;
     for (ServerState server : servers) {
-      if (!server.hasCapacity(now) || !leavesMargin(attempt, server)) {
+      if (!server.hasCapacity(now)
+          || !leavesMargin(attempt, server)
+          || !rollout.hasCapacity(server.description().version(), Instant.ofEpochMilli(now))) {
         continue;
       }
       boolean failedBefore = attempt.request.excluded().contains(server.description().name());
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ControlState.java
@@ -12,9 +12,11 @@
 import org.cactusseam.logic.orders.OrderView;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
+import org.cactusseam.model.ConfigurationObject;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ObjectKey;
 import org.cactusseam.model.ObjectKind;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.RegionName;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.control.ControlRecord;
@@ -189,7 +191,7 @@
     boolean existed = configuration.find(change.key()).isPresent();
     tombstones.remove(change.key());
     if (change.value().isPresent()) {
-      configuration = configuration.with(change.value().get(), offset);
+      configuration = configuration.with(recorded(change.value().get(), offset), offset);
     } else {
       configuration = configuration.without(change.key(), offset);
       tombstones.put(change.key(), logTimeMillis);
@@ -202,6 +204,10 @@
     }
   }
 
+  private ConfigurationObject recorded(ConfigurationObject value, long offset) {
+    return value instanceof PoolRollout rollout ? rollout.recorded(offset, logTimeMillis) : value;
+  }
+
   private Set<ShardId> shards() {
     return ShardMap.of(configuration).shards().keySet();
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/InForceTracker.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/InForceTracker.java
@@ -95,6 +95,10 @@
     return switch (key.kind()) {
       case FAILURE_DOMAIN -> union(shardsOfDomain(key, before), shardsOfDomain(key, after));
       case BACKEND_SERVER -> union(shardOfServer(key, before), shardOfServer(key, after));
+      case POOL_ROLLOUT ->
+          owners.owners().keySet().stream()
+              .filter(shard -> shard.pool().value().equals(key.name()))
+              .collect(Collectors.toSet());
       case ACCOUNT, PRIORITY_CLASS, ROUTE -> owners.owners().keySet();
     };
   }
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/ReferenceCheck.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/ReferenceCheck.java
@@ -1,10 +1,14 @@
 package org.cactusseam.logic.control;
 
+import java.util.Optional;
+import org.cactusseam.logic.rollout.PoolRolloutPlan;
+import org.cactusseam.logic.rollout.RolloutStage;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.ClientAccount;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.ConfigurationObject;
 import org.cactusseam.model.FailureDomain;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.PriorityClass;
 import org.cactusseam.model.Route;
 import org.cactusseam.model.control.ControlRecord;
@@ -42,6 +46,7 @@
               server -> server.pool().equals(route.pool()) && server.kind() != route.kind());
       case FailureDomain domain -> mayPutDomain(configuration, domain);
       case BackendServer server -> mayPutServer(configuration, server);
+      case PoolRollout rollout -> mayPutRollout(configuration, rollout);
     };
   }
 
@@ -85,6 +90,25 @@
             route -> route.pool().equals(server.pool()) && route.kind() != server.kind());
   }
 
+  /**
+   * A roll-out does not go back to an earlier stage, and a new one does not replace one in
+   * progress.
+   */
+  private static boolean mayPutRollout(Configuration configuration, PoolRollout rollout) {
+    Optional<RolloutStage> next = RolloutStage.find(rollout.stage());
+    Optional<PoolRollout> known = configuration.rollout(rollout.pool());
+    if (next.isEmpty()) {
+      return false;
+    }
+    if (known.isEmpty()) {
+      return rollout.order() == PoolRollout.NOT_RECORDED;
+    }
+    RolloutStage before = PoolRolloutPlan.stage(known.get());
+    return rollout.order() == known.get().order()
+        ? next.get().equals(before) || next.get().isAfter(before)
+        : rollout.order() == PoolRollout.NOT_RECORDED && before.isFinal();
+  }
+
   private static boolean mayRemove(Configuration configuration, ConfigurationObject object) {
     return switch (object) {
       case PriorityClass priorityClass ->
@@ -94,6 +118,7 @@
       case ClientAccount account -> true;
       case Route route -> true;
       case BackendServer server -> true;
+      case PoolRollout rollout -> false;
     };
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/control/SnapshotEntries.java
@@ -17,6 +17,7 @@
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.ObjectKey;
 import org.cactusseam.model.ObjectKind;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.PriorityClass;
 import org.cactusseam.model.Route;
 import org.cactusseam.model.ShardId;
@@ -48,7 +49,8 @@
           ClientAccount.class,
           Route.class,
           FailureDomain.class,
-          BackendServer.class);
+          BackendServer.class,
+          PoolRollout.class);
 
   /**
    * State read from the entries of a snapshot.
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/Command.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/Command.java
@@ -1,9 +1,12 @@
 package org.cactusseam.logic.query;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.PoolName;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.ServiceState;
 
 /** A command of the operator command language. */
@@ -62,7 +65,9 @@
     /** Admission shards and their owners. */
     SHARDS,
     /** Orders to backend servers. */
-    ORDERS
+    ORDERS,
+    /** Roll-outs of pools. */
+    ROLLOUTS
   }
 
   /** Properties by which requests can be filtered. */
@@ -175,6 +180,49 @@
   record SetService(OptionalLong revision, ObjectKey key, ServiceState state)
       implements ConfigurationOrder {}
 
+  /**
+   * Moves the traffic of a pool to another version.
+   *
+   * @param revision expected revision of the latest roll-out of the pool
+   * @param pool pool of backend servers
+   * @param version version that receives the traffic
+   * @param duration time to the deadline
+   */
+  record Roll(OptionalLong revision, PoolName pool, String version, Duration duration)
+      implements ConfigurationOrder {
+
+    @Override
+    public ObjectKey key() {
+      return PoolRollout.keyOf(pool);
+    }
+  }
+
+  /** Changes of a roll-out in progress. */
+  enum RolloutChange {
+    /** No further requests go to the new version until the roll-out is resumed. */
+    PAUSE,
+    /** Ends a pause. */
+    RESUME,
+    /** The replaced versions keep the traffic. */
+    REVERT
+  }
+
+  /**
+   * Changes the roll-out of a pool.
+   *
+   * @param revision expected revision of the roll-out
+   * @param change kind of change
+   * @param pool pool of backend servers
+   */
+  record ChangeRollout(OptionalLong revision, RolloutChange change, PoolName pool)
+      implements ConfigurationOrder {
+
+    @Override
+    public ObjectKey key() {
+      return PoolRollout.keyOf(pool);
+    }
+  }
+
   /**
    * Loads an artifact into an engine.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandParser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandParser.java
@@ -137,7 +137,10 @@
             .map(OptionalLong::of)
             .optional(OptionalLong.empty());
     Parser<Command> conditional =
-        revision.next(seen -> Parsers.or(change(seen), remove(seen), setService(seen)));
+        revision.next(
+            seen ->
+                Parsers.or(
+                    change(seen), remove(seen), setService(seen), roll(seen), changeRollout(seen)));
     return Parsers.or(create(), load(), changeRole(), conditional);
   }
 
@@ -214,6 +217,30 @@
         (keyword, key, last) -> new Command.SetService(revision, key, state));
   }
 
+  private static Parser<Command> roll(OptionalLong revision) {
+    return Parsers.sequence(
+        TokenParsers.keyword("roll"),
+        pool(),
+        Parsers.sequence(
+            TokenParsers.keyword("to"),
+            TokenParsers.keyword("version"),
+            TokenParsers.text("a version")),
+        Parsers.sequence(TokenParsers.keyword("within"), TokenParsers.deadline()),
+        (roll, pool, version, duration) -> new Command.Roll(revision, pool, version, duration));
+  }
+
+  private static Parser<Command> changeRollout(OptionalLong revision) {
+    return Parsers.sequence(
+        TokenParsers.choice(Command.RolloutChange.class),
+        Parsers.sequence(TokenParsers.keyword("roll-out"), TokenParsers.keyword("of"), pool()),
+        (change, pool) -> new Command.ChangeRollout(revision, change, pool));
+  }
+
+  private static Parser<PoolName> pool() {
+    return Parsers.sequence(TokenParsers.keyword("pool"), TokenParsers.name("a pool"))
+        .map(PoolName::new);
+  }
+
   private static Parser<Command> load() {
     return Parsers.sequence(
         TokenParsers.keyword("load"),
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandPrinter.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/CommandPrinter.java
@@ -39,6 +39,19 @@
               + (set.state() == ServiceState.OUT
                   ? "take " + object(set.key()) + " out"
                   : "bring " + object(set.key()) + " in");
+      case Command.Roll roll ->
+          revision(roll.revision())
+              + "roll pool "
+              + roll.pool()
+              + " to version "
+              + quoted(roll.version())
+              + " within "
+              + DurationText.format(roll.duration());
+      case Command.ChangeRollout change ->
+          revision(change.revision())
+              + TokenParsers.lowerCase(change.change())
+              + " "
+              + object(change.key());
       case Command.Load load ->
           "load "
               + TokenParsers.lowerCase(load.artifact())
@@ -64,6 +77,7 @@
       case ROUTE -> "route";
       case FAILURE_DOMAIN -> "domain";
       case BACKEND_SERVER -> "server";
+      case POOL_ROLLOUT -> "roll-out of pool";
     };
   }
 
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/OrderTranslator.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/OrderTranslator.java
@@ -1,13 +1,16 @@
 package org.cactusseam.logic.query;
 
+import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.ConfigurationObject;
 import org.cactusseam.model.FailureDomain;
 import org.cactusseam.model.ObjectKey;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.ServiceState;
 import org.cactusseam.model.control.ControlRecord;
@@ -79,6 +82,9 @@
                 change.key(),
                 object -> ConfigurationObjectFactory.change(object, change.attributes()));
         case Command.Remove remove -> remove(remove.key());
+        case Command.Roll roll -> translated(roll.key(), RolloutOrders.start(configuration, roll));
+        case Command.ChangeRollout change ->
+            translated(change.key(), RolloutOrders.change(configuration, change));
         case Command.SetService set ->
             changeExisting(set.key(), object -> withState(object, set.state()));
       };
@@ -126,6 +132,10 @@
         : store(key, desired);
   }
 
+  private OrderTranslation translated(ObjectKey key, Either<OrderTranslation, PoolRollout> result) {
+    return result.fold(Function.identity(), rollout -> record(key, Optional.of(rollout)));
+  }
+
   private OrderTranslation remove(ObjectKey key) {
     String object = CommandPrinter.object(key);
     if (configuration.find(key).isPresent()) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/QueryResults.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/QueryResults.java
@@ -3,9 +3,12 @@
 import static org.cactusseam.logic.query.ResultTable.row;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.Function;
 import org.cactusseam.logic.control.Membership;
+import org.cactusseam.logic.rollout.PoolRolloutPlan;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.ClientAccount;
@@ -14,9 +17,12 @@
 import org.cactusseam.model.DurationText;
 import org.cactusseam.model.FailureDomain;
 import org.cactusseam.model.Names;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.PriorityClass;
 import org.cactusseam.model.Route;
 import org.cactusseam.model.message.RequestSummary;
+import org.cactusseam.model.message.ShardRolloutReport;
+import org.cactusseam.model.message.ShardRolloutReport.ResponseTotals;
 
 /**
  * Creates the result tables of queries from the configuration, the membership and request
@@ -46,7 +52,7 @@
 
   /**
    * Lists the backend servers. The column "serves" shows whether new requests may be sent to the
-   * server, which also depends on the state of its failure domain.
+   * server, which also depends on the state of its failure domain and on a roll-out of its pool.
    *
    * @return table with one row per server
    */
@@ -81,10 +87,18 @@
                     server.memoryTokens(),
                     server.version(),
                     TokenParsers.lowerCase(server.state()),
-                    configuration.isInService(server) ? "yes" : "no",
+                    serves(server) ? "yes" : "no",
                     revision(server))));
   }
 
+  private boolean serves(BackendServer server) {
+    return configuration.isInService(server)
+        && configuration
+            .rollout(server.pool())
+            .map(rollout -> PoolRolloutPlan.mayServe(rollout, server.version()))
+            .orElse(true);
+  }
+
   /**
    * Lists the failure domains.
    *
@@ -162,6 +176,62 @@
                     revision(route))));
   }
 
+  /**
+   * Lists the latest roll-out of each pool with the evidence for and against the new version.
+   *
+   * @param reports latest reports of the owners of the shards
+   * @return table with one row per pool for which a roll-out was ordered
+   */
+  public ResultTable rollouts(Collection<ShardRolloutReport> reports) {
+    return new ResultTable(
+        List.of(
+            "pool",
+            "version",
+            "replaces",
+            "stage",
+            "paused",
+            "deadline",
+            "old-requests",
+            "old-failures",
+            "old-slow",
+            "new-requests",
+            "new-failures",
+            "new-slow",
+            "revision",
+            "reason"),
+        rows(
+            PoolRollout.class,
+            rollout -> {
+              List<ShardRolloutReport> known =
+                  reports.stream()
+                      .filter(report -> report.shard().pool().equals(rollout.pool()))
+                      .filter(report -> report.order() == rollout.order())
+                      .toList();
+              ResponseTotals replaced = total(known, ShardRolloutReport::replaced);
+              ResponseTotals latest = total(known, ShardRolloutReport::latest);
+              return row(
+                  rollout.pool(),
+                  rollout.version(),
+                  String.join(" ", rollout.replaced()),
+                  rollout.stage(),
+                  rollout.paused() ? "yes" : "no",
+                  Instant.ofEpochMilli(rollout.deadlineMillis()),
+                  replaced.responses(),
+                  replaced.failures(),
+                  replaced.slow(),
+                  latest.responses(),
+                  latest.failures(),
+                  latest.slow(),
+                  revision(rollout),
+                  rollout.reason());
+            }));
+  }
+
+  private static ResponseTotals total(
+      List<ShardRolloutReport> reports, Function<ShardRolloutReport, ResponseTotals> totals) {
+    return reports.stream().map(totals).reduce(ResponseTotals.NONE, ResponseTotals::plus);
+  }
+
   /**
    * Lists the entry daemons.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/query/References.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/query/References.java
@@ -51,7 +51,7 @@
           case FAILURE_DOMAIN ->
               configuration.all(BackendServer.class).stream()
                   .filter(server -> server.domain().value().equals(key.name()));
-          case ACCOUNT, ROUTE, BACKEND_SERVER -> Stream.empty();
+          case ACCOUNT, ROUTE, BACKEND_SERVER, POOL_ROLLOUT -> Stream.empty();
         };
     return users
         .findFirst()
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/VersionTest.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/VersionTest.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.cactusseam.model.message.ShardRolloutReport.ResponseTotals;
 
 /**
  * Sequential test of the new version of one order against the old one, by the responses of all VMs.
@@ -52,9 +53,8 @@
 
   private final Map<Symptom, Double> totals = new HashMap<>();
   private Optional<Verdict> bad = Optional.empty();
-  private int newResponses;
-  private int newFailures;
-  private int newSlow;
+  private ResponseTotals oldTotals = ResponseTotals.NONE;
+  private ResponseTotals newTotals = ResponseTotals.NONE;
 
   /** Result of the test. */
   public enum Kind {
@@ -90,24 +90,52 @@
     counts.forEach(
         (key, each) -> {
           if (!key.isNew()) {
+            oldTotals = oldTotals.plus(totals(key, each));
             old.add(key, each, now);
           }
         });
     counts.forEach(
         (key, each) -> {
           if (key.isNew()) {
+            newTotals = newTotals.plus(totals(key, each));
             testFailures(key, each);
             testTimes(key, each);
           }
         });
   }
 
+  /**
+   * Counts responses. Slow ones of the new version are counted when their times are tested, because
+   * its times may come before enough of the old version's.
+   */
+  private ResponseTotals totals(EvidenceKey key, ResponseCounts counts) {
+    boolean isResponse = key.measure() == EvidenceKey.Measure.RESPONSE;
+    int responses = isResponse ? counts.successes() + counts.failures() : 0;
+    int slow = key.isNew() ? 0 : old.slow(key).map(limit -> slow(counts, limit)).orElse(0);
+    return new ResponseTotals(responses, isResponse ? counts.failures() : 0, slow);
+  }
+
+  private static int slow(ResponseCounts counts, OldVersionRates.Slow limit) {
+    List<Integer> times = counts.times();
+    return times.subList(Math.min(limit.firstClass(), times.size()), times.size()).stream()
+        .mapToInt(Integer::intValue)
+        .sum();
+  }
+
+  /**
+   * Returns the numbers of responses so far.
+   *
+   * @param isNew whether those of the new version are counted, or those of the old one
+   * @return totals
+   */
+  public ResponseTotals totals(boolean isNew) {
+    return isNew ? newTotals : oldTotals;
+  }
+
   private void testFailures(EvidenceKey key, ResponseCounts counts) {
     if (key.measure() != EvidenceKey.Measure.RESPONSE) {
       return;
     }
-    newResponses += counts.successes() + counts.failures();
-    newFailures += counts.failures();
     double rate = Math.clamp(old.failureRate(key), MIN_RATE, MAX_OLD_RATE);
     double badRate = Math.min(MAX_RATE, rate + BAD_FAILURES * (1 - rate));
     add(Symptom.FAILURES, key, ratio(counts.failures(), counts.successes(), rate, badRate));
@@ -130,7 +158,7 @@
         others += times.get(index);
       }
     }
-    newSlow += slow;
+    newTotals = newTotals.plus(new ResponseTotals(0, 0, slow));
     double rate = Math.clamp(limit.get().rate(), MIN_RATE, MAX_OLD_RATE);
     add(Symptom.SLOW, key, ratio(slow, others, rate, Math.min(MAX_RATE, rate + BAD_SLOW)));
   }
@@ -200,6 +228,11 @@
   }
 
   private String text() {
-    return newFailures + " failures and " + newSlow + " slow in " + newResponses + " responses";
+    return newTotals.failures()
+        + " failures and "
+        + newTotals.slow()
+        + " slow in "
+        + newTotals.responses()
+        + " responses";
   }
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/Configuration.java
@@ -289,6 +289,16 @@
         .map(BackendServer.class::cast);
   }
 
+  /**
+   * Looks up the latest roll-out of a pool.
+   *
+   * @param pool name of the pool
+   * @return roll-out, or empty if no command for the pool was recorded
+   */
+  public Optional<PoolRollout> rollout(PoolName pool) {
+    return find(PoolRollout.keyOf(pool)).map(PoolRollout.class::cast);
+  }
+
   /**
    * Tells whether new work may be sent to a backend server, according to its own service state and
    * that of its failure domain.
--- a/cactusseam-core/src/main/java/org/cactusseam/model/ConfigurationObject.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/ConfigurationObject.java
@@ -11,10 +11,11 @@
   @JsonSubTypes.Type(value = PriorityClass.class, name = "class"),
   @JsonSubTypes.Type(value = Route.class, name = "route"),
   @JsonSubTypes.Type(value = FailureDomain.class, name = "domain"),
-  @JsonSubTypes.Type(value = BackendServer.class, name = "server")
+  @JsonSubTypes.Type(value = BackendServer.class, name = "server"),
+  @JsonSubTypes.Type(value = PoolRollout.class, name = "roll-out")
 })
 public sealed interface ConfigurationObject
-    permits ClientAccount, PriorityClass, Route, FailureDomain, BackendServer {
+    permits ClientAccount, PriorityClass, Route, FailureDomain, BackendServer, PoolRollout {
 
   /**
    * Returns the identity of this object.
--- a/cactusseam-core/src/main/java/org/cactusseam/model/ObjectKind.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/ObjectKind.java
@@ -11,5 +11,7 @@
   /** Kind of {@link FailureDomain}. */
   FAILURE_DOMAIN,
   /** Kind of {@link BackendServer}. */
-  BACKEND_SERVER
+  BACKEND_SERVER,
+  /** Kind of {@link PoolRollout}, whose name is that of the pool. */
+  POOL_ROLLOUT
 }
--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.RouteName;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.AdmissionDecision;
 import org.cactusseam.model.admission.AttemptEnd;
@@ -53,6 +55,8 @@
   @JsonSubTypes.Type(value = PeerMessage.RunningAttempts.class, name = "inventory"),
   @JsonSubTypes.Type(value = PeerMessage.TransferAttempt.class, name = "adopt"),
   @JsonSubTypes.Type(value = PeerMessage.AttemptEnded.class, name = "ended"),
+  @JsonSubTypes.Type(value = PeerMessage.AttemptResponse.class, name = "response"),
+  @JsonSubTypes.Type(value = PeerMessage.ShardRollouts.class, name = "roll-outs"),
   @JsonSubTypes.Type(value = PeerMessage.SuspicionsUpdate.class, name = "suspicions"),
   @JsonSubTypes.Type(value = PeerMessage.SuspicionsReply.class, name = "suspicions-answer"),
   @JsonSubTypes.Type(value = PeerMessage.FailureAcknowledged.class, name = "failure-released"),
@@ -268,6 +272,35 @@
   record AttemptEnded(ShardId shard, PermitRequestId attempt, AttemptEnd end, long tokens)
       implements PeerMessage {}
 
+  /**
+   * Reports the response of a backend server to the owner of its shard, immediately before the
+   * {@link AttemptEnded} of the attempt. It is sent only during a roll-out of the pool; earlier
+   * versions do not know it.
+   *
+   * @param shard shard of the owner
+   * @param server backend server that responded
+   * @param route route of the request
+   * @param failed whether the response was a failure
+   * @param responseMillis time until the response was complete or its first token arrived
+   */
+  record AttemptResponse(
+      ShardId shard, BackendServerName server, RouteName route, boolean failed, long responseMillis)
+      implements PeerMessage {}
+
+  /**
+   * Tells all peers what the sender knows about roll-outs of the pools of its shards. It is sent
+   * only during a roll-out; earlier versions do not know it.
+   *
+   * @param reports one report for each shard
+   */
+  record ShardRollouts(List<ShardRolloutReport> reports) implements PeerMessage {
+
+    /** Copies the list. */
+    public ShardRollouts {
+      reports = List.copyOf(reports);
+    }
+  }
+
   /**
    * Asks for the requests that the receiver serves.
    *
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandParserTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandParserTest.java
@@ -28,6 +28,12 @@
         "show nodes",
         "show shards",
         "show orders",
+        "show rollouts",
+        "roll pool spende-app to version \"v2\" within 10min",
+        "if revision 12 roll pool pool to version \"v 2\" within 30s",
+        "pause roll-out of pool spende-app",
+        "if revision 7 resume roll-out of pool of",
+        "revert roll-out of pool spende-app",
         "show command 019a-b.c",
         "create class gold rank 0",
         "create class bulk rank 9 may-wait",
@@ -87,9 +93,9 @@
       quoteCharacter = '`',
       textBlock =
           """
-          ``; line 1, column 1: expected 'bring' or 'change' or 'create' or 'if' or 'load' or 'remove' or 'show' or 'take', found the end
-          show; line 1, column 5: expected 'command' or 'requests' or 'servers' or 'domains' or 'accounts' or 'classes' or 'routes' or 'nodes' or 'shards' or 'orders', found the end
-          show Servers; line 1, column 6: expected 'command' or 'requests' or 'servers' or 'domains' or 'accounts' or 'classes' or 'routes' or 'nodes' or 'shards' or 'orders', found 'Servers'
+          ``; line 1, column 1: expected 'bring' or 'change' or 'create' or 'if' or 'load' or 'pause' or 'resume' or 'revert' or 'remove' or 'roll' or 'show' or 'take', found the end
+          show; line 1, column 5: expected 'command' or 'requests' or 'servers' or 'domains' or 'accounts' or 'classes' or 'routes' or 'nodes' or 'shards' or 'orders' or 'rollouts', found the end
+          show Servers; line 1, column 6: expected 'command' or 'requests' or 'servers' or 'domains' or 'accounts' or 'classes' or 'routes' or 'nodes' or 'shards' or 'orders' or 'rollouts', found 'Servers'
           show servers now; line 1, column 14: expected the end, found 'now'
           show requests where; line 1, column 20: expected 'account' or 'route' or 'server' or 'domain', found the end
           show requests where account resi; line 1, column 29: expected '=', found 'resi'
@@ -103,13 +109,16 @@
           create route r path "/x" pool p kind plain repeatable no deadline 1; line 1, column 67: expected a duration like 500ms, 3s, 10min, 12h or 7d, up to 1d, found '1'
           create server s pool p domain d kind engine address example.org:80 fencing checked cold-limit 1 warm-limit 1; line 1, column 53: expected an address like 10.0.0.1:8080, found 'example.org:80'
           if revision x remove class c; line 1, column 13: expected a whole number from 0 to 999999999999999999, found 'x'
-          if revision 1 create class c rank 1; line 1, column 15: expected 'bring' or 'change' or 'remove' or 'take', found 'create'
+          if revision 1 create class c rank 1; line 1, column 15: expected 'bring' or 'change' or 'pause' or 'resume' or 'revert' or 'remove' or 'roll' or 'take', found 'create'
           change class gold; line 1, column 18: expected an attribute, found the end
           change class gold share 3; line 1, column 19: expected 'may-wait' or 'rank' or the end, found 'share'
           change server w1 version v2; line 1, column 26: expected a version in double quotes, 1 to 256 characters, found 'v2'
           change server w1 version "v2" memory 7; line 1, column 31: expected the end, found 'memory'
           take server w1; line 1, column 15: expected 'out', found the end
           take account a out; line 1, column 6: expected 'domain' or 'server', found 'account'
+          roll pool p to version v2 within 1min; line 1, column 24: expected a version in double quotes, 1 to 256 characters, found 'v2'
+          roll pool p to version "v2"; line 1, column 28: expected 'within', found the end
+          pause pool p; line 1, column 7: expected 'roll-out', found 'pool'
           load model zopf on server w1; line 1, column 12: expected a name in double quotes, 1 to 256 characters, found 'zopf'
           load model "zopf; line 1, column 12: expected a name in double quotes, 1 to 256 characters, found '"zopf'
           show servers "x; line 1, column 14: expected '=' or a text in double quotes or a word or the end, found '"x'
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandPropertiesTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/query/CommandPropertiesTest.java
@@ -58,6 +58,11 @@
           "\n",
           "take",
           "out",
+          "roll",
+          "pool",
+          "within",
+          "pause",
+          "roll-out",
           "-1",
           "key-hash",
           "10.0.0.1:1",
@@ -153,7 +158,14 @@
   Arbitrary<Command> commands() {
     Arbitrary<BackendServerName> servers = names().map(BackendServerName::new);
     Arbitrary<ObjectKey> keys =
-        Combinators.combine(Arbitraries.of(ObjectKind.class), names()).as(ObjectKey::new);
+        // A roll-out is not removed.
+        Combinators.combine(
+                Arbitraries.of(ObjectKind.class).filter(kind -> kind != ObjectKind.POOL_ROLLOUT),
+                names())
+            .as(ObjectKey::new);
+    Arbitrary<PoolName> pools = names().map(PoolName::new);
+    Arbitrary<Duration> durations =
+        Arbitraries.longs().between(1, 86_400_000).map(Duration::ofMillis);
     Arbitrary<ObjectKey> serviceKeys =
         Combinators.combine(
                 Arbitraries.of(ObjectKind.FAILURE_DOMAIN, ObjectKind.BACKEND_SERVER), names())
@@ -172,6 +184,9 @@
         Combinators.combine(revisions(), keys).as(Command.Remove::new),
         Combinators.combine(revisions(), serviceKeys, Arbitraries.of(ServiceState.class))
             .as(Command.SetService::new),
+        Combinators.combine(revisions(), pools, texts(), durations).as(Command.Roll::new),
+        Combinators.combine(revisions(), Arbitraries.of(Command.RolloutChange.class), pools)
+            .as(Command.ChangeRollout::new),
         Combinators.combine(Arbitraries.of(Command.Artifact.class), texts(), servers)
             .as(Command.Load::new),
         Combinators.combine(servers, texts()).as(Command.ChangeRole::new));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/ModelRequest.java
@@ -213,6 +213,9 @@
     int status = response.statusCode();
     boolean isNotRun = response.getHeader(Headers.NOT_RUN) != null;
     response.request().reset();
+    if (!isNotRun && status >= STATUS_SERVER_ERROR) {
+      services.admission().reportFailure(attempt.permit().id());
+    }
     attemptLoop.reportEnd(attempt.permit(), AttemptEnd.REFUSED, 0);
     if (isNotRun) {
       runOnceGuard.recordNotRun();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/PlainRequest.java
@@ -30,6 +30,7 @@
 final class PlainRequest implements AttemptLoop.Sender {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int STATUS_SERVER_ERROR = 500;
 
   /**
    * Output bound for admission, which is the smallest possible. Without a bound, a shard owner that
@@ -203,6 +204,9 @@
   }
 
   private void deliver(AttemptLoop.Attempt attempt, HttpClientResponse response, Buffer content) {
+    if (response.statusCode() >= STATUS_SERVER_ERROR) {
+      services.admission().reportFailure(attempt.permit().id());
+    }
     attemptLoop.reportEnd(attempt.permit(), AttemptEnd.COMPLETED, 1);
     String contentType =
         Optional.ofNullable(response.getHeader("Content-Type")).orElse("application/octet-stream");
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/AdmissionClient.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/AdmissionClient.java
@@ -56,6 +56,14 @@
    */
   void whenReleased(PermitRequestId attempt, Runnable callback);
 
+  /**
+   * Reports that the backend server answered an attempt with a failure of its own. Must be called
+   * before {@link #reportEnd}; a broken connection counts as a failure without it.
+   *
+   * @param attempt attempt that failed
+   */
+  void reportFailure(PermitRequestId attempt);
+
   /**
    * Reports the end of an attempt that had a permit.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandService.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/CommandService.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.peer.PeerNetwork;
 import org.cactusseam.edge.platform.LogException;
@@ -70,6 +71,7 @@
   private final ProvisionalRestrictions restrictions;
   private final PeerNetwork network;
   private final PeerQueries queries;
+  private final Supplier<ResultTable> rollouts;
   private final Runnable configurationChanged;
   private final Map<String, List<Promise<CommandResult>>> waiting = new HashMap<>();
 
@@ -92,6 +94,7 @@
       ProvisionalRestrictions restrictions,
       PeerNetwork network,
       PeerQueries queries,
+      Supplier<ResultTable> rollouts,
       Runnable configurationChanged) {
     this.vertx = vertx;
     this.self = self;
@@ -100,6 +103,7 @@
     this.restrictions = restrictions;
     this.network = network;
     this.queries = queries;
+    this.rollouts = rollouts;
     this.configurationChanged = configurationChanged;
   }
 
@@ -154,6 +158,7 @@
           case NODES -> QueryResults.nodes(log.state().membership());
           case SHARDS -> shardTable();
           case ORDERS -> OrderReport.table(log.state().orders());
+          case ROLLOUTS -> rollouts.get();
         };
     return new CommandResult(ResultCode.OK, "", Optional.of(table));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/ControlPlane.java
@@ -76,6 +76,7 @@
   private final ClaimService claims;
   private final OrderTokenService tokens;
   private final OrderService orders;
+  private final RolloutService rollouts;
   private final PeerProcesses processes = new PeerProcesses();
   private Member self;
   private volatile RoutingView view = RoutingView.EMPTY;
@@ -123,6 +124,7 @@
             ownership::ownerOf,
             () -> log.state().nextOffset(),
             membership.takeoverLimit(),
+            pool -> view.isRolledOut(pool),
             this::send);
     this.quarantine =
         new QuarantineService(
@@ -144,9 +146,18 @@
     this.orders =
         new OrderService(
             clock, self, tokens, new OrderClient(vertx), coordinator::mayGrant, log::append);
+    this.rollouts = new RolloutService(clock, log::state, owned, this::sendToPeers, log::append);
     this.commands =
         new CommandService(
-            vertx, self.node(), log, inForce, restrictions, network, queries, this::publishView);
+            vertx,
+            self.node(),
+            log,
+            inForce,
+            restrictions,
+            network,
+            queries,
+            rollouts::table,
+            this::publishView);
   }
 
   private final class LogListener implements ControlLog.Listener {
@@ -263,6 +274,7 @@
     owned.tick();
     loadProbes.pollSuspected();
     orders.tick(owned.owned(), view.shards());
+    rollouts.tick(view.shards());
     router.tick();
     commands.tick();
     if (commands.isOperatorWaiting()) {
@@ -377,7 +389,9 @@
       case PeerMessage.PermitDecision decided ->
           router.onDecision(decided.decision(), decided.round());
       case PeerMessage.ResponseStarted confirmed -> owned.onResponseStarted(confirmed);
+      case PeerMessage.AttemptResponse response -> owned.onAttemptResponse(response);
       case PeerMessage.AttemptEnded ended -> owned.onAttemptEnded(ended);
+      case PeerMessage.ShardRollouts known -> rollouts.onReports(known);
       case PeerMessage.FailureAcknowledged released -> router.releaseFailure(released.attempt());
       case PeerMessage.SuspicionsUpdate update ->
           quarantine.mergeAndReply(from.node(), update.known());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -27,6 +27,7 @@
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
 import org.cactusseam.model.message.PeerMessage;
+import org.cactusseam.model.message.ShardRolloutReport;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -100,6 +101,19 @@
         .toList();
   }
 
+  /** Returns what this daemon knows about roll-outs as an owner that may grant permits. */
+  List<ShardRolloutReport> rolloutReports() {
+    return shards.entrySet().stream()
+        .filter(entry -> mayGrant.test(entry.getKey()))
+        .flatMap(entry -> entry.getValue().rollout().report().stream())
+        .toList();
+  }
+
+  /** Returns whether this daemon owns a shard and may grant permits for it. */
+  boolean mayGrant(ShardId shard) {
+    return shards.containsKey(shard) && mayGrant.test(shard);
+  }
+
   private AdmissionShard newShard(ShardId id) {
     AdmissionShard shard = new AdmissionShard(id, clock, settings);
     shard.setPlacementRule(quarantine::mayRun);
@@ -151,6 +165,16 @@
     }
   }
 
+  void onAttemptResponse(PeerMessage.AttemptResponse message) {
+    AdmissionShard shard = shards.get(message.shard());
+    if (shard != null) {
+      Duration time = Duration.ofMillis(message.responseMillis());
+      shard
+          .rollout()
+          .recordResponse(message.server(), message.route().value(), message.failed(), time);
+    }
+  }
+
   void onAttemptEnded(PeerMessage.AttemptEnded message) {
     rounds.remove(message.attempt());
     fingerprints.remove(message.attempt());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -14,8 +14,10 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.cactusseam.logic.quarantine.QuarantineTable;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.PoolName;
 import org.cactusseam.model.Refusal;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.ShardId;
@@ -73,6 +75,7 @@
   private final Clock clock;
   private final Function<ShardId, Optional<NodeName>> owners;
   private final LongSupplier viewOffset;
+  private final Predicate<PoolName> isRolledOut;
   private final Sender sender;
   private final Map<PermitRequestId, PendingRequest> pendingRequests = new HashMap<>();
   private final Map<PermitRequestId, PermittedAttempt> runningAttempts = new HashMap<>();
@@ -113,11 +116,15 @@
   private static final class PermittedAttempt {
     final PermitRequest request;
     final Permit permit;
+    final Instant grantedAt;
+    Optional<Instant> firstTokenAt = Optional.empty();
+    boolean failed;
     long tokens;
 
-    PermittedAttempt(PermitRequest request, Permit permit) {
+    PermittedAttempt(PermitRequest request, Permit permit, Instant now) {
       this.request = request;
       this.permit = permit;
+      this.grantedAt = now;
     }
   }
 
@@ -127,7 +134,9 @@
       Function<ShardId, Optional<NodeName>> owners,
       LongSupplier viewOffset,
       Duration takeoverLimit,
+      Predicate<PoolName> isRolledOut,
       Sender sender) {
+    this.isRolledOut = isRolledOut;
     this.viewOffset = viewOffset;
     this.outages = new ShardOutages(takeoverLimit);
     this.controlThread = controlThread;
@@ -171,6 +180,7 @@
           PermittedAttempt entry = runningAttempts.get(attempt);
           if (entry != null) {
             entry.tokens = tokens;
+            entry.firstTokenAt = entry.firstTokenAt.or(() -> Optional.of(clock.instant()));
           }
         });
   }
@@ -179,7 +189,10 @@
   public void reportEnd(ShardId shard, PermitRequestId attempt, AttemptEnd end, long tokens) {
     controlThread.run(
         () -> {
-          runningAttempts.remove(attempt);
+          PermittedAttempt entry = runningAttempts.remove(attempt);
+          if (entry != null && isRolledOut.test(shard.pool())) {
+            sendResponse(entry, end);
+          }
           if (end == AttemptEnd.BROKEN) {
             heldFailures.put(
                 attempt, new HeldFailure(clock.instant().plus(QuarantineTable.FAILURE_HOLD_LIMIT)));
@@ -188,6 +201,31 @@
         });
   }
 
+  @Override
+  public void reportFailure(PermitRequestId attempt) {
+    controlThread.run(
+        () -> {
+          PermittedAttempt entry = runningAttempts.get(attempt);
+          if (entry != null) {
+            entry.failed = true;
+          }
+        });
+  }
+
+  /** Reports a response; an attempt that was refused, cancelled or not sent has none. */
+  private void sendResponse(PermittedAttempt entry, AttemptEnd end) {
+    boolean failed = entry.failed || end == AttemptEnd.BROKEN;
+    if (failed || end == AttemptEnd.COMPLETED) {
+      Instant respondedAt = entry.firstTokenAt.orElseGet(clock::instant);
+      long millis = Duration.between(entry.grantedAt, respondedAt).toMillis();
+      ShardId shard = entry.permit.shard();
+      send(
+          shard,
+          new PeerMessage.AttemptResponse(
+              shard, entry.permit.server(), entry.request.route(), failed, millis));
+    }
+  }
+
   @Override
   public void whenReleased(PermitRequestId attempt, Runnable callback) {
     Context caller = Vertx.currentContext();
@@ -326,7 +364,8 @@
       return;
     }
     outages.clear(permit.shard());
-    runningAttempts.put(permit.id(), new PermittedAttempt(pending.request, permit));
+    runningAttempts.put(
+        permit.id(), new PermittedAttempt(pending.request, permit, clock.instant()));
     pending.answer.accept(new PermitAnswer.Granted(permit, validUntil));
   }
 
--- /dev/null
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RolloutService.java
@@ -0,0 +1,159 @@
+package org.cactusseam.edge.control;
+
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.cactusseam.edge.logging.StructuredLog;
+import org.cactusseam.logic.control.ControlState;
+import org.cactusseam.logic.membership.ShardMap;
+import org.cactusseam.logic.query.QueryResults;
+import org.cactusseam.logic.query.ResultTable;
+import org.cactusseam.logic.rollout.PoolRolloutPlan;
+import org.cactusseam.logic.rollout.VersionTest;
+import org.cactusseam.model.Configuration;
+import org.cactusseam.model.PoolRollout;
+import org.cactusseam.model.ShardId;
+import org.cactusseam.model.control.ControlRecord;
+import org.cactusseam.model.message.PeerMessage;
+import org.cactusseam.model.message.ShardRolloutReport;
+
+/**
+ * Exchanges what the owners of a pool's shards know about its roll-out, and records the next stage
+ * if this daemon owns the first shard of the pool. Confined to the control thread.
+ */
+final class RolloutService {
+
+  private static final StructuredLog LOG = StructuredLog.of(RolloutService.class);
+
+  /** Interval of the reports; the owners test the responses as often. */
+  private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+
+  /**
+   * Time after which the record of a stage is appended again if the log does not show it. A
+   * duplicate has no effect, because it expects the same revision.
+   */
+  private static final Duration APPEND_INTERVAL = Duration.ofSeconds(2);
+
+  /**
+   * Age from which the report of another owner is not used for a decision, and the roll-out waits.
+   * A bad verdict does not expire.
+   */
+  private static final Duration REPORT_VALIDITY = Duration.ofSeconds(5);
+
+  private final Clock clock;
+  private final Supplier<ControlState> state;
+  private final OwnedShards owned;
+  private final Consumer<PeerMessage> peerSender;
+  private final Consumer<ControlRecord> recordAppender;
+  private final Map<ShardId, Received> reports = new HashMap<>();
+  private final Map<String, Instant> appended = new HashMap<>();
+  private Instant reportedAt = Instant.MIN;
+
+  private record Received(ShardRolloutReport report, Instant at) {}
+
+  RolloutService(
+      Clock clock,
+      Supplier<ControlState> state,
+      OwnedShards owned,
+      Consumer<PeerMessage> peerSender,
+      Consumer<ControlRecord> recordAppender) {
+    this.clock = clock;
+    this.state = state;
+    this.owned = owned;
+    this.peerSender = peerSender;
+    this.recordAppender = recordAppender;
+  }
+
+  /**
+   * Sends the reports that are due and records the stages that are due.
+   *
+   * @param shardMap servers of all shards
+   */
+  void tick(ShardMap shardMap) {
+    Instant now = clock.instant();
+    List<ShardRolloutReport> own = owned.rolloutReports();
+    own.forEach(report -> keep(report, now));
+    if (!own.isEmpty() && !now.isBefore(reportedAt.plus(REPORT_INTERVAL))) {
+      reportedAt = now;
+      peerSender.accept(new PeerMessage.ShardRollouts(own));
+    }
+    Configuration configuration = state.get().configuration();
+    for (PoolRollout rollout : configuration.all(PoolRollout.class)) {
+      Optional<ShardId> first = shardMap.shardsOf(rollout.pool()).stream().findFirst();
+      if (first.filter(owned::mayGrant).isPresent()) {
+        PoolRolloutPlan.next(rollout, verdict(rollout, now), now)
+            .ifPresent(next -> append(next, configuration.revision(rollout.key()).orElseThrow()));
+      }
+    }
+  }
+
+  private VersionTest.Verdict verdict(PoolRollout rollout, Instant now) {
+    return PoolRolloutPlan.combine(
+        reports.values().stream()
+            .filter(each -> each.report.order() == rollout.order())
+            .filter(each -> each.report.shard().pool().equals(rollout.pool()))
+            .filter(
+                each ->
+                    each.report.verdict() == ShardRolloutReport.Verdict.BAD
+                        || now.isBefore(each.at.plus(REPORT_VALIDITY)))
+            .map(Received::report)
+            .toList());
+  }
+
+  /** The command's identity states the expected revision, so that each decision has its own. */
+  private void append(PoolRollout next, long revision) {
+    String commandId = "roll-out-" + next.pool() + "-" + revision + "-" + next.stage();
+    Instant now = clock.instant();
+    appended.values().removeIf(at -> !now.isBefore(at.plus(APPEND_INTERVAL)));
+    if (appended.putIfAbsent(commandId, now) == null) {
+      LOG.info(
+          "rollout_stage",
+          field("pool", next.pool()),
+          field("version", next.version()),
+          field("stage", next.stage()),
+          field("reason", next.reason()));
+      recordAppender.accept(
+          new ControlRecord.Change(commandId, next.key(), revision, Optional.of(next), "roll-out"));
+    }
+  }
+
+  /**
+   * Keeps the reports of another owner.
+   *
+   * @param message reports of its shards
+   */
+  void onReports(PeerMessage.ShardRollouts message) {
+    Instant now = clock.instant();
+    message.reports().forEach(report -> keep(report, now));
+  }
+
+  /** Keeps a bad verdict, which the next owner of the shard does not know. */
+  private void keep(ShardRolloutReport report, Instant now) {
+    Received known = reports.get(report.shard());
+    boolean isKnownBad =
+        known != null
+            && known.report.order() == report.order()
+            && known.report.verdict() == ShardRolloutReport.Verdict.BAD;
+    if (!isKnownBad || report.verdict() == ShardRolloutReport.Verdict.BAD) {
+      reports.put(report.shard(), new Received(report, now));
+    }
+  }
+
+  /**
+   * Lists the roll-outs.
+   *
+   * @return table with the latest known evidence
+   */
+  ResultTable table() {
+    return new QueryResults(state.get().configuration())
+        .rollouts(reports.values().stream().map(Received::report).toList());
+  }
+}
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RoutingView.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RoutingView.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cactusseam.logic.membership.ShardMap;
+import org.cactusseam.logic.rollout.PoolRolloutPlan;
 import org.cactusseam.model.BackendKind;
 import org.cactusseam.model.ClientAccount;
 import org.cactusseam.model.Configuration;
+import org.cactusseam.model.PoolName;
 import org.cactusseam.model.PriorityClass;
 import org.cactusseam.model.PriorityClassName;
 import org.cactusseam.model.Route;
@@ -108,4 +110,17 @@
         .filter(route -> path.equals(route.path()) || path.startsWith(route.path() + "/"))
         .max((left, right) -> Integer.compare(left.path().length(), right.path().length()));
   }
+
+  /**
+   * Returns whether a roll-out of a pool is in progress, so that owners need the responses.
+   *
+   * @param pool pool of backend servers
+   * @return true from the record of the command to that of a final stage
+   */
+  boolean isRolledOut(PoolName pool) {
+    return configuration
+        .rollout(pool)
+        .filter(rollout -> !PoolRolloutPlan.stage(rollout).isFinal())
+        .isPresent();
+  }
 }
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/control/PermitRouterTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/control/PermitRouterTest.java
@@ -48,7 +48,13 @@
   private Optional<NodeName> owner = Optional.of(new NodeName("n1"));
   private final PermitRouter router =
       new PermitRouter(
-          new ControlThread(vertx), clock, shard -> owner, () -> 0, TAKEOVER_LIMIT, this::send);
+          new ControlThread(vertx),
+          clock,
+          shard -> owner,
+          () -> 0,
+          TAKEOVER_LIMIT,
+          pool -> false,
+          this::send);
 
   @AfterEach
   void close() {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -53,6 +53,7 @@
 import org.cactusseam.model.control.StoredRecord;
 import org.cactusseam.model.message.PeerMessage;
 import org.cactusseam.model.message.RequestSummary;
+import org.cactusseam.model.message.ShardRolloutReport;
 import org.cactusseam.model.quarantine.Conviction;
 import org.cactusseam.model.quarantine.CrashId;
 import org.cactusseam.model.quarantine.CrashReport;
@@ -135,6 +136,15 @@
           5,
           100);
 
+  private static final ShardRolloutReport ROLLOUT_REPORT =
+      new ShardRolloutReport(
+          SHARD,
+          12,
+          ShardRolloutReport.Verdict.GOOD,
+          "0 failures",
+          new ShardRolloutReport.ResponseTotals(100, 2, 3),
+          ShardRolloutReport.ResponseTotals.NONE);
+
   static Stream<PeerMessage> messages() {
     return Stream.of(
         new PeerMessage.Hello(1, "zopfwerk", MEMBER, "challenge"),
@@ -185,7 +195,9 @@
         new PeerMessage.ListRequests(1),
         new PeerMessage.RequestList(1, new NodeName("entry-1"), List.of(SUMMARY)),
         new PeerMessage.Restriction(serverChange("")),
-        new PeerMessage.Restriction(serverChange("v2")));
+        new PeerMessage.Restriction(serverChange("v2")),
+        new PeerMessage.AttemptResponse(SHARD, SERVER, new RouteName("r"), true, 250),
+        new PeerMessage.ShardRollouts(List.of(ROLLOUT_REPORT)));
   }
 
   private static ControlRecord.Change serverChange(String version) {
@@ -245,7 +257,7 @@
 
   @Property(tries = 10_000, seed = "4712")
   void changed_bytes_of_a_message_never_raise_an_exception(
-      @ForAll @IntRange(max = 33) int index, @ForAll int position, @ForAll byte replacement) {
+      @ForAll @IntRange(max = 35) int index, @ForAll int position, @ForAll byte replacement) {
     PeerMessage message = messages().toList().get(index);
     Buffer frame = PeerCodec.encode(message);
     byte[] value = frame.getBytes(PeerCodec.LENGTH_BYTES, frame.length());
@@ -256,7 +268,7 @@
 
   @Property(tries = 10_000, seed = "4713")
   void frames_do_not_depend_on_how_the_bytes_are_split(
-      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 33) Integer> indexes,
+      @ForAll @Size(min = 1, max = 5) List<@IntRange(max = 35) Integer> indexes,
       @ForAll @IntRange(min = 1, max = 40) int chunkBytes) {
     List<PeerMessage> sent = indexes.stream().map(messages().toList()::get).toList();
     Buffer bytes = Buffer.buffer();
