Complete a roll-out only with recent reports of all owners

Cause: the owner of the first shard completed a roll-out when it knew no bad verdict. An owner that was partitioned from it could have one, and so could the reports that it missed while it was paused or before it took the shard over. After completing, all owners send all requests to the new version, the one with the bad verdict included.

Change: PoolRolloutPlan completes only if the owner of each shard of the pool has reported within 3 s, and reverts at the deadline otherwise. The reports and their validity move from RolloutService to the core (PoolRolloutReports), where they are tested. The validity is 3 s in place of 5 s: it must be shorter than the time from a partition to the completion, and still lets two reports in succession be lost.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/PoolRolloutPlan.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/PoolRolloutPlan.java
@@ -9,6 +9,7 @@
 import org.cactusseam.logic.rollout.VersionTest.Kind;
 import org.cactusseam.logic.rollout.VersionTest.Verdict;
 import org.cactusseam.model.PoolRollout;
+import org.cactusseam.model.ShardId;
 import org.cactusseam.model.message.ShardRolloutReport;
 
 /**
@@ -54,9 +55,13 @@
    *
    * @param rollout recorded roll-out
    * @param verdict result of the test, from all shards of the pool
+   * @param silent shards of the pool whose owners have not reported recently. One of them may have
+   *     a bad verdict, so the roll-out is not completed until all have reported, and is reverted at
+   *     the deadline.
    * @return roll-out to record, empty if the stage does not change now
    */
-  public static Optional<PoolRollout> next(PoolRollout rollout, Verdict verdict, Instant now) {
+  public static Optional<PoolRollout> next(
+      PoolRollout rollout, Verdict verdict, Collection<ShardId> silent, Instant now) {
     RolloutStage stage = stage(rollout);
     if (stage.isFinal()) {
       return Optional.empty();
@@ -81,8 +86,18 @@
             stage,
             rollout.reason());
     Duration duration = Duration.ofMillis(rollout.durationMillis());
-    return RolloutPlan.next(state, new RolloutPlan.Situation(verdict, true, true, duration), now)
-        .map(next -> rollout.withStage(withoutDraining(next.stage()).label(), next.reason()));
+    Optional<RolloutState> next =
+        RolloutPlan.next(state, new RolloutPlan.Situation(verdict, true, true, duration), now);
+    boolean isCompleting =
+        next.filter(each -> withoutDraining(each.stage()) instanceof RolloutStage.Completed)
+            .isPresent();
+    if (isCompleting && !silent.isEmpty()) {
+      return isOver
+          ? Optional.of(reverted(rollout, "no recent report of the owners of " + silent))
+          : Optional.empty();
+    }
+    return next.map(
+        each -> rollout.withStage(withoutDraining(each.stage()).label(), each.reason()));
   }
 
   private static PoolRollout reverted(PoolRollout rollout, String reason) {
@@ -100,7 +115,7 @@
    * @param reports latest report of each shard
    * @return verdict for the pool
    */
-  public static Verdict combine(Collection<ShardRolloutReport> reports) {
+  static Verdict combine(Collection<ShardRolloutReport> reports) {
     Optional<Verdict> decided =
         find(reports, ShardRolloutReport.Verdict.BAD)
             .or(() -> find(reports, ShardRolloutReport.Verdict.GOOD));
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/PoolRolloutPlanTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/PoolRolloutPlanTest.java
@@ -12,6 +12,7 @@
 import org.cactusseam.model.message.ShardRolloutReport;
 import org.cactusseam.model.message.ShardRolloutReport.ResponseTotals;
 import org.cactusseam.model.message.ShardRolloutReport.Verdict;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -44,21 +45,14 @@
   })
   void a_stage_follows_when_it_is_due(
       String stage, boolean paused, VersionTest.Kind kind, long millisLeft, String expected) {
-    PoolRollout rollout =
-        new PoolRollout(
-            new PoolName("app"),
-            "v2",
-            List.of("v1"),
-            12_000,
-            7,
-            DEADLINE.toEpochMilli(),
-            paused,
-            stage,
-            "");
+    PoolRollout rollout = rollout(stage, paused);
 
     String next =
         PoolRolloutPlan.next(
-                rollout, new VersionTest.Verdict(kind, ""), DEADLINE.minusMillis(millisLeft))
+                rollout,
+                new VersionTest.Verdict(kind, ""),
+                List.of(),
+                DEADLINE.minusMillis(millisLeft))
             .map(PoolRollout::stage)
             .orElse(null);
 
@@ -81,6 +75,66 @@
         PoolRolloutPlan.combine(List.of(report(1, second), report(0, first))).kind(), is(expected));
   }
 
+  /**
+   * Guards against a completed roll-out of a version that a partitioned owner, or one that the
+   * first owner has not heard since its own pause, has found bad.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "GOOD,      2900, 2000, completed",
+    "GOOD,      3000, 2000, ",
+    "GOOD,      3000, 0,    reverted",
+    "BAD,       9000, 2000, reverted",
+    "UNDECIDED, 1000, 2000, completed",
+  })
+  void a_roll_out_completes_only_with_recent_reports_of_all_owners(
+      Verdict verdictOfOther, long ageMillis, long millisLeft, String expected) {
+    PoolRollout rollout = rollout("shifting", false);
+    Instant now = DEADLINE.minusMillis(millisLeft);
+    PoolRolloutReports reports = new PoolRolloutReports();
+    reports.add(report(0, Verdict.GOOD), now);
+    reports.add(report(1, verdictOfOther), now.minusMillis(ageMillis));
+    List<ShardId> shards =
+        List.of(report(0, Verdict.GOOD).shard(), report(1, Verdict.GOOD).shard());
+
+    String next =
+        PoolRolloutPlan.next(
+                rollout, reports.verdict(rollout, now), reports.silent(rollout, shards, now), now)
+            .map(PoolRollout::stage)
+            .orElse(null);
+
+    assertThat(next, is(expected));
+  }
+
+  /** Guards against a bad verdict that is forgotten when its shard gets another owner. */
+  @Test
+  void a_bad_verdict_outlasts_its_owner_but_not_its_roll_out() {
+    PoolRolloutReports reports = new PoolRolloutReports();
+    reports.add(report(0, Verdict.BAD), DEADLINE);
+    reports.add(report(0, Verdict.GOOD), DEADLINE);
+
+    assertThat(reports.badVerdict(rollout("shifting", false), DEADLINE).isPresent(), is(true));
+    PoolRollout later =
+        new PoolRollout(
+            new PoolName("app"), "v2", List.of("v1"), 12_000, 8, 0, false, "shifting", "");
+    assertThat(reports.badVerdict(later, DEADLINE).isPresent(), is(false));
+    assertThat(
+        reports.silent(later, List.of(report(0, Verdict.BAD).shard()), DEADLINE).size(), is(1));
+  }
+
+  private static PoolRollout rollout(String stage, boolean paused) {
+    return new PoolRollout(
+        new PoolName("app"),
+        "v2",
+        List.of("v1"),
+        12_000,
+        7,
+        DEADLINE.toEpochMilli(),
+        paused,
+        stage,
+        "");
+  }
+
   private static ShardRolloutReport report(int shard, Verdict verdict) {
     return new ShardRolloutReport(
         new ShardId(new PoolName("app"), new RegionName("ost"), shard),
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
@@ -164,7 +164,10 @@
     List<ShardRolloutReport> reports =
         owners.stream().flatMap(owner -> owner.report().stream()).toList();
     PoolRolloutPlan.next(
-            configuration.rollout(POOL).orElseThrow(), PoolRolloutPlan.combine(reports), now)
+            configuration.rollout(POOL).orElseThrow(),
+            PoolRolloutPlan.combine(reports),
+            List.of(),
+            now)
         .ifPresent(this::record);
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RolloutService.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RolloutService.java
@@ -17,7 +17,7 @@
 import org.cactusseam.logic.query.QueryResults;
 import org.cactusseam.logic.query.ResultTable;
 import org.cactusseam.logic.rollout.PoolRolloutPlan;
-import org.cactusseam.logic.rollout.VersionTest;
+import org.cactusseam.logic.rollout.PoolRolloutReports;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.ShardId;
@@ -42,23 +42,15 @@
    */
   private static final Duration APPEND_INTERVAL = Duration.ofSeconds(2);
 
-  /**
-   * Age from which the report of another owner is not used for a decision, and the roll-out waits.
-   * A bad verdict does not expire.
-   */
-  private static final Duration REPORT_VALIDITY = Duration.ofSeconds(5);
-
   private final Clock clock;
   private final Supplier<ControlState> state;
   private final OwnedShards owned;
   private final Consumer<PeerMessage> peerSender;
   private final Consumer<ControlRecord> recordAppender;
-  private final Map<ShardId, Received> reports = new HashMap<>();
+  private final PoolRolloutReports reports = new PoolRolloutReports();
   private final Map<String, Instant> appended = new HashMap<>();
   private Instant reportedAt = Instant.MIN;
 
-  private record Received(ShardRolloutReport report, Instant at) {}
-
   RolloutService(
       Clock clock,
       Supplier<ControlState> state,
@@ -80,34 +72,22 @@
   void tick(ShardMap shardMap) {
     Instant now = clock.instant();
     List<ShardRolloutReport> own = owned.rolloutReports();
-    own.forEach(report -> keep(report, now));
+    own.forEach(report -> reports.add(report, now));
     if (!own.isEmpty() && !now.isBefore(reportedAt.plus(REPORT_INTERVAL))) {
       reportedAt = now;
       peerSender.accept(new PeerMessage.ShardRollouts(own));
     }
     Configuration configuration = state.get().configuration();
     for (PoolRollout rollout : configuration.all(PoolRollout.class)) {
-      Optional<ShardId> first = shardMap.shardsOf(rollout.pool()).stream().findFirst();
-      if (first.filter(owned::mayGrant).isPresent()) {
-        PoolRolloutPlan.next(rollout, verdict(rollout, now), now)
+      List<ShardId> shards = shardMap.shardsOf(rollout.pool());
+      if (shards.stream().findFirst().filter(owned::mayGrant).isPresent()) {
+        List<ShardId> silent = reports.silent(rollout, shards, now);
+        PoolRolloutPlan.next(rollout, reports.verdict(rollout, now), silent, now)
             .ifPresent(next -> append(next, configuration.revision(rollout.key()).orElseThrow()));
       }
     }
   }
 
-  private VersionTest.Verdict verdict(PoolRollout rollout, Instant now) {
-    return PoolRolloutPlan.combine(
-        reports.values().stream()
-            .filter(each -> each.report.order() == rollout.order())
-            .filter(each -> each.report.shard().pool().equals(rollout.pool()))
-            .filter(
-                each ->
-                    each.report.verdict() == ShardRolloutReport.Verdict.BAD
-                        || now.isBefore(each.at.plus(REPORT_VALIDITY)))
-            .map(Received::report)
-            .toList());
-  }
-
   /** The command's identity states the expected revision, so that each decision has its own. */
   private void append(PoolRollout next, long revision) {
     String commandId = "roll-out-" + next.pool() + "-" + revision + "-" + next.stage();
@@ -132,19 +112,7 @@
    */
   void onReports(PeerMessage.ShardRollouts message) {
     Instant now = clock.instant();
-    message.reports().forEach(report -> keep(report, now));
-  }
-
-  /** Keeps a bad verdict, which the next owner of the shard does not know. */
-  private void keep(ShardRolloutReport report, Instant now) {
-    Received known = reports.get(report.shard());
-    boolean isKnownBad =
-        known != null
-            && known.report.order() == report.order()
-            && known.report.verdict() == ShardRolloutReport.Verdict.BAD;
-    if (!isKnownBad || report.verdict() == ShardRolloutReport.Verdict.BAD) {
-      reports.put(report.shard(), new Received(report, now));
-    }
+    message.reports().forEach(report -> reports.add(report, now));
   }
 
   /**
@@ -153,7 +121,6 @@
    * @return table with the latest known evidence
    */
   ResultTable table() {
-    return new QueryResults(state.get().configuration())
-        .rollouts(reports.values().stream().map(Received::report).toList());
+    return new QueryResults(state.get().configuration()).rollouts(reports.latest());
   }
 }
