Ask for a roll-out without allocations on the path of a request

Cause: for each server that an admission considered, the owner allocated an Instant and, once a pool had had any roll-out, looked the name of its stage up in a new list. Each end of an attempt did the latter, too, and each tick of the control thread sorted all configuration objects.

Change: the roll-out in progress is determined when the configuration changes, in ShardRollout, RoutingView and RolloutService. The limit takes the time in milliseconds. The time of the first token is read once.

Result: no decision changes; PoolRolloutPlanTest, ShardRolloutTest, AdmissionShard*Test, PermitRouterTest and ArchitectureTest pass. The time per admission was not measured.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/ServerChooser.java
@@ -1,7 +1,6 @@
 package org.cactusseam.logic.admission;
 
 import com.google.common.collect.Lists;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -78,7 +77,7 @@
     for (ServerState server : servers) {
       if (!server.hasCapacity(now)
           || !leavesMargin(attempt, server)
-          || !rollout.hasCapacity(server.description().version(), Instant.ofEpochMilli(now))) {
+          || !rollout.hasCapacity(server.description().version(), now)) {
         continue;
       }
       boolean failedBefore = attempt.request.excluded().contains(server.description().name());
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ShardRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ShardRollout.java
@@ -35,6 +35,10 @@
   private Configuration configuration = Configuration.EMPTY;
   private boolean configured;
   private Optional<PoolRollout> rollout = Optional.empty();
+
+  /** The roll-out while its stage is not final; kept, because each admission asks for it. */
+  private Optional<PoolRollout> inProgress = Optional.empty();
+
   private int shards = 1;
   private int newServers;
   private Trial trial = new Trial(false);
@@ -91,6 +95,7 @@
                   .count();
     }
     rollout = latest;
+    inProgress = latest.filter(current -> !PoolRolloutPlan.stage(current).isFinal());
     configuration = next;
     configured = true;
   }
@@ -103,7 +108,7 @@
    */
   public boolean permits(String version) {
     boolean isFoundBad =
-        trial.bad && inProgress().filter(each -> each.version().equals(version)).isPresent();
+        trial.bad && inProgress.filter(each -> each.version().equals(version)).isPresent();
     return rollout.map(each -> PoolRolloutPlan.mayServe(each, version)).orElse(true) && !isFoundBad;
   }
 
@@ -111,17 +116,18 @@
    * Returns whether the exposure limit permits one more request to a version.
    *
    * @param version version of a server that may serve
+   * @param nowMillis present time in milliseconds since the Unix epoch
    * @return true for every version but the new one of a roll-out in progress
    */
-  public boolean hasCapacity(String version, Instant now) {
-    if (inProgress().filter(current -> current.version().equals(version)).isEmpty()) {
+  public boolean hasCapacity(String version, long nowMillis) {
+    if (inProgress.isEmpty() || !inProgress.get().version().equals(version)) {
       return true;
     }
-    return trial.exposure.hasCapacity(phase(rollout.orElseThrow(), now), shards);
+    return trial.exposure.hasCapacity(phase(inProgress.get(), nowMillis), shards);
   }
 
-  private static ExposureLimit.Phase phase(PoolRollout current, Instant now) {
-    double left = current.deadlineMillis() - now.toEpochMilli();
+  private static ExposureLimit.Phase phase(PoolRollout current, long nowMillis) {
+    double left = current.deadlineMillis() - nowMillis;
     if (PoolRolloutPlan.stage(current) instanceof RolloutStage.Canary) {
       double duration = Math.max(1, current.durationMillis());
       return new ExposureLimit.Phase.Canary(Math.clamp(1 - left / duration, 0, 1));
@@ -130,10 +136,6 @@
     return new ExposureLimit.Phase.Ramp(Math.clamp(1 - left / reserve, 0, 1));
   }
 
-  private Optional<PoolRollout> inProgress() {
-    return rollout.filter(current -> !PoolRolloutPlan.stage(current).isFinal());
-  }
-
   /**
    * Counts an admitted request.
    *
@@ -142,16 +144,15 @@
    *     raise the limit again
    */
   public void recordGrant(String version, boolean isRetry) {
-    inProgress()
-        .ifPresent(
-            current -> {
-              if (!isRetry) {
-                trial.exposure.recordRequest();
-              }
-              if (current.version().equals(version)) {
-                trial.exposure.recordSent();
-              }
-            });
+    if (inProgress.isEmpty()) {
+      return;
+    }
+    if (!isRetry) {
+      trial.exposure.recordRequest();
+    }
+    if (inProgress.get().version().equals(version)) {
+      trial.exposure.recordSent();
+    }
   }
 
   /**
@@ -163,7 +164,7 @@
    * @param time time until the response was complete or its first token arrived
    */
   public void recordResponse(BackendServerName name, String route, boolean failed, Duration time) {
-    Optional<PoolRollout> current = inProgress();
+    Optional<PoolRollout> current = inProgress;
     Optional<BackendServer> found = configuration.server(name);
     if (found.isEmpty()) {
       return;
@@ -196,7 +197,7 @@
    * @return whether the new version was found bad by this call, so that it may not serve any more
    */
   public boolean tick(Instant now) {
-    if (inProgress().isEmpty() || now.isBefore(trial.testedAt.plus(TEST_INTERVAL))) {
+    if (inProgress.isEmpty() || now.isBefore(trial.testedAt.plus(TEST_INTERVAL))) {
       return false;
     }
     trial.testedAt = now;
@@ -221,17 +222,16 @@
    * @return report, empty without a roll-out in progress
    */
   public Optional<ShardRolloutReport> report() {
-    return inProgress()
-        .map(
-            current -> {
-              VersionTest.Verdict verdict = trial.test.verdict(newServers);
-              return new ShardRolloutReport(
-                  shard,
-                  current.order(),
-                  ShardRolloutReport.Verdict.valueOf(verdict.kind().name()),
-                  verdict.reason(),
-                  trial.test.totals(false),
-                  trial.test.totals(true));
-            });
+    return inProgress.map(
+        current -> {
+          VersionTest.Verdict verdict = trial.test.verdict(newServers);
+          return new ShardRolloutReport(
+              shard,
+              current.order(),
+              ShardRolloutReport.Verdict.valueOf(verdict.kind().name()),
+              verdict.reason(),
+              trial.test.totals(false),
+              trial.test.totals(true));
+        });
   }
 }
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
@@ -94,7 +94,7 @@
   private BackendServer pick(ShardRollout owner, ShardId shard, int number) {
     String region = shard.region().value();
     BackendServer latest = find(region + "-" + (3 + number % 2));
-    boolean isAllowed = owner.permits("v2") && owner.hasCapacity("v2", now);
+    boolean isAllowed = owner.permits("v2") && owner.hasCapacity("v2", now.toEpochMilli());
     return isAllowed ? latest : find(region + "-" + number % 3);
   }
 
@@ -201,12 +201,12 @@
     record(ordered());
     ShardRollout owner = owners.getFirst();
 
-    assertThat(owner.hasCapacity("v2", now), is(false));
+    assertThat(owner.hasCapacity("v2", now.toEpochMilli()), is(false));
     for (int number = 0; number < 200; number++) {
       owner.recordGrant("v1", false);
     }
 
-    assertThat(owner.hasCapacity("v2", now), is(true));
+    assertThat(owner.hasCapacity("v2", now.toEpochMilli()), is(true));
     assertThat(owner.report().orElseThrow().order(), is(50L));
   }
 
@@ -225,7 +225,7 @@
     configureOwners();
     ShardRollout owner = owners.getFirst();
     assertThat(owner.permits("v1") && owner.permits("v2") && owner.permits("v3"), is(true));
-    assertThat(owner.hasCapacity("v2", now), is(true));
+    assertThat(owner.hasCapacity("v2", now.toEpochMilli()), is(true));
 
     record(ordered().withPaused(paused).withStage(stage, ""));
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -180,7 +180,9 @@
           PermittedAttempt entry = runningAttempts.get(attempt);
           if (entry != null) {
             entry.tokens = tokens;
-            entry.firstTokenAt = entry.firstTokenAt.or(() -> Optional.of(clock.instant()));
+            if (entry.firstTokenAt.isEmpty()) {
+              entry.firstTokenAt = Optional.of(clock.instant());
+            }
           }
         });
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RolloutService.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RolloutService.java
@@ -50,6 +50,10 @@
   private final PoolRolloutReports reports = new PoolRolloutReports();
   private final Map<String, Instant> appended = new HashMap<>();
   private Instant reportedAt = Instant.MIN;
+  private Configuration known = Configuration.EMPTY;
+
+  /** Roll-outs of the known configuration; kept, because each tick asks for them. */
+  private List<PoolRollout> rollouts = List.of();
 
   RolloutService(
       Clock clock,
@@ -78,7 +82,11 @@
       peerSender.accept(new PeerMessage.ShardRollouts(own));
     }
     Configuration configuration = state.get().configuration();
-    for (PoolRollout rollout : configuration.all(PoolRollout.class)) {
+    if (configuration != known) {
+      known = configuration;
+      rollouts = configuration.all(PoolRollout.class);
+    }
+    for (PoolRollout rollout : rollouts) {
       List<ShardId> shards = shardMap.shardsOf(rollout.pool());
       if (shards.stream().findFirst().filter(owned::mayGrant).isPresent()) {
         List<ShardId> silent = reports.silent(rollout, shards, now);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RoutingView.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RoutingView.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.rollout.PoolRolloutPlan;
 import org.cactusseam.model.BackendKind;
 import org.cactusseam.model.ClientAccount;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.PoolName;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.PriorityClass;
 import org.cactusseam.model.PriorityClassName;
 import org.cactusseam.model.Route;
@@ -29,6 +32,7 @@
   private final ShardMap shards;
   private final Map<String, ClientAccount> accountsByKeyHash = new HashMap<>();
   private final List<Route> routes;
+  private final Set<PoolName> rolledOutPools;
 
   /**
    * Creates a view and builds its indexes.
@@ -39,6 +43,11 @@
     this.configuration = configuration;
     this.shards = ShardMap.of(configuration);
     this.routes = configuration.all(Route.class);
+    this.rolledOutPools =
+        configuration.all(PoolRollout.class).stream()
+            .filter(rollout -> !PoolRolloutPlan.stage(rollout).isFinal())
+            .map(PoolRollout::pool)
+            .collect(Collectors.toUnmodifiableSet());
     for (ClientAccount account : configuration.all(ClientAccount.class)) {
       account.keyHashes().forEach(hash -> accountsByKeyHash.put(hash, account));
     }
@@ -118,9 +127,6 @@
    * @return true from the record of the command to that of a final stage
    */
   boolean isRolledOut(PoolName pool) {
-    return configuration
-        .rollout(pool)
-        .filter(rollout -> !PoolRolloutPlan.stage(rollout).isFinal())
-        .isPresent();
+    return rolledOutPools.contains(pool);
   }
 }
