Count requests without a response as slow ones of a roll-out

Cause: a request that its caller cancelled, or that still ran at the verdict, was no evidence. A version that hangs for a part of its requests could be found good by the others.

Change: the owner counts a request without a first token or response as a slow one, once, when it has taken 2 s more than the slow responses of the replaced versions; first tokens are reported once a second. The same holds for the replaced versions.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/AdmissionShard.java
@@ -329,15 +329,13 @@
   public void tick() {
     long now = clock.millis();
     servers.values().forEach(server -> server.tick(now));
+    if (rollout.isInProgress()) {
+      attempts.values().forEach(attempt -> attempt.reportUnanswered(rollout, now));
+    }
     if (rollout.tick(clock.instant())) {
-      servers
-          .values()
-          .forEach(
-              server ->
-                  server.configure(
-                      server.description(),
-                      server.inService() && isInService(server.description()),
-                      now));
+      servers.values().stream()
+          .filter(server -> !rollout.permits(server.description().version()))
+          .forEach(server -> server.configure(server.description(), false, now));
     }
     for (Attempt attempt :
         waiting.select(each -> now - each.lastRequestedAt > REQUESTER_TIMEOUT_MILLIS)) {
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
@@ -1,5 +1,7 @@
 package org.cactusseam.logic.admission;
 
+import java.time.Duration;
+import org.cactusseam.logic.rollout.ShardRollout;
 import org.cactusseam.model.admission.Permit;
 import org.cactusseam.model.admission.PermitRequest;
 import org.jspecify.annotations.Nullable;
@@ -95,6 +97,18 @@
     chargedMemory = promptTokens + chargedTokens;
   }
 
+  /** Reports a running attempt that has no response yet to the roll-out of its pool. */
+  void reportUnanswered(ShardRollout rollout, long now) {
+    ServerState onServer = server;
+    if (onServer != null && tokens == 0) {
+      rollout.recordUnanswered(
+          request.id(),
+          onServer.description().name(),
+          request.route().value(),
+          Duration.ofMillis(now - grantedAt));
+    }
+  }
+
   /** Corrects the charges of the account when this attempt has ended. */
   void settle() {
     ledger.charge(tokens - chargedTokens);
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ShardRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ShardRollout.java
@@ -3,13 +3,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.ShardId;
+import org.cactusseam.model.admission.PermitRequestId;
 import org.cactusseam.model.gateway.RolloutSettings;
 import org.cactusseam.model.message.ShardRolloutReport;
 
@@ -31,6 +34,12 @@
    */
   private static final Duration TEST_INTERVAL = Duration.ofSeconds(1);
 
+  /**
+   * Time that a request without a response must exceed slow responses by. Owners learn of first
+   * tokens once a second.
+   */
+  private static final Duration UNANSWERED_MARGIN = Duration.ofSeconds(2);
+
   private final ShardId shard;
   private Configuration configuration = Configuration.EMPTY;
   private boolean configured;
@@ -49,6 +58,7 @@
     private final VersionTest test = new VersionTest();
     private final RolloutEvidence evidence = new RolloutEvidence();
     private final Map<EvidenceKey, ResponseCounts> tested = new HashMap<>();
+    private final Set<PermitRequestId> countedAsSlow = new HashSet<>();
     private Instant testedAt = Instant.MIN;
     private boolean bad;
 
@@ -96,6 +106,9 @@
     }
     rollout = latest;
     inProgress = latest.filter(current -> !PoolRolloutPlan.stage(current).isFinal());
+    if (inProgress.isEmpty()) {
+      trial.countedAsSlow.clear();
+    }
     configuration = next;
     configured = true;
   }
@@ -158,37 +171,78 @@
   /**
    * Records a response. Versions that are neither new nor replaced are no evidence.
    *
+   * @param attempt attempt that was answered
    * @param name server that responded
    * @param route name of the route
    * @param failed whether the response was a failure
    * @param time time until the response was complete or its first token arrived
    */
-  public void recordResponse(BackendServerName name, String route, boolean failed, Duration time) {
-    Optional<PoolRollout> current = inProgress;
+  public void recordResponse(
+      PermitRequestId attempt,
+      BackendServerName name,
+      String route,
+      boolean failed,
+      Duration time) {
+    boolean isTimeCounted = trial.countedAsSlow.remove(attempt);
+    evidenceKey(name, route)
+        .ifPresent(
+            key -> {
+              if (failed) {
+                trial.evidence.recordFailure(key);
+                return;
+              }
+              trial.evidence.recordSuccess(key);
+              if (!isTimeCounted) {
+                trial.evidence.recordTime(key, time);
+              }
+            });
+  }
+
+  /**
+   * Records that a request has no response yet. It counts as a slow response, once, when it has
+   * taken much longer than the replaced versions take, so that a version that hangs is not found
+   * good by its other responses.
+   *
+   * @param attempt attempt without a response
+   * @param name server that it was sent to
+   * @param route name of the route
+   * @param age time since the request was admitted
+   */
+  public void recordUnanswered(
+      PermitRequestId attempt, BackendServerName name, String route, Duration age) {
+    if (age.compareTo(UNANSWERED_MARGIN) > 0 && !trial.countedAsSlow.contains(attempt)) {
+      evidenceKey(name, route)
+          .filter(key -> trial.test.isSlow(key, age.minus(UNANSWERED_MARGIN)))
+          .ifPresent(
+              key -> {
+                trial.countedAsSlow.add(attempt);
+                trial.evidence.recordTime(key, age);
+              });
+    }
+  }
+
+  private Optional<EvidenceKey> evidenceKey(BackendServerName name, String route) {
     Optional<BackendServer> found = configuration.server(name);
-    if (found.isEmpty()) {
-      return;
+    if (found.isEmpty() || inProgress.isEmpty()) {
+      return Optional.empty();
     }
     BackendServer server = found.get();
-    boolean isNew = current.filter(each -> each.version().equals(server.version())).isPresent();
-    boolean isReplaced =
-        current.filter(each -> each.replaced().contains(server.version())).isPresent();
-    if (!isNew && !isReplaced) {
-      return;
+    boolean isNew = inProgress.get().version().equals(server.version());
+    if (!isNew && !inProgress.get().replaced().contains(server.version())) {
+      return Optional.empty();
     }
-    EvidenceKey key =
+    return Optional.of(
         new EvidenceKey(
             EvidenceKey.Measure.RESPONSE,
             route,
             isNew,
             server.domain().value(),
-            isNew ? server.name().value() : "");
-    if (failed) {
-      trial.evidence.recordFailure(key);
-    } else {
-      trial.evidence.recordSuccess(key);
-      trial.evidence.recordTime(key, time);
-    }
+            isNew ? server.name().value() : ""));
+  }
+
+  /** Returns whether a roll-out of the pool is in progress. */
+  public boolean isInProgress() {
+    return inProgress.isPresent();
   }
 
   /**
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/VersionTest.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/VersionTest.java
@@ -1,5 +1,6 @@
 package org.cactusseam.logic.rollout;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -132,6 +133,16 @@
     return isNew ? newTotals : oldTotals;
   }
 
+  /**
+   * Returns whether a response counts as slow by the recent times of the old version.
+   *
+   * @param time time that the response has taken at least
+   * @return false also if there are too few times of the old version
+   */
+  boolean isSlow(EvidenceKey key, Duration time) {
+    return old.slow(key).filter(limit -> TimeClasses.of(time) >= limit.firstClass()).isPresent();
+  }
+
   private void testFailures(EvidenceKey key, ResponseCounts counts) {
     if (key.measure() != EvidenceKey.Measure.RESPONSE) {
       return;
--- a/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/message/PeerMessage.java
@@ -278,13 +278,19 @@
    * versions do not know it.
    *
    * @param shard shard of the owner
+   * @param attempt attempt that was answered
    * @param server backend server that responded
    * @param route route of the request
    * @param failed whether the response was a failure
    * @param responseMillis time until the response was complete or its first token arrived
    */
   record AttemptResponse(
-      ShardId shard, BackendServerName server, RouteName route, boolean failed, long responseMillis)
+      ShardId shard,
+      PermitRequestId attempt,
+      BackendServerName server,
+      RouteName route,
+      boolean failed,
+      long responseMillis)
       implements PeerMessage {}
 
   /**
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
@@ -16,12 +16,15 @@
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.FailureDomain;
 import org.cactusseam.model.FailureDomainName;
+import org.cactusseam.model.NodeName;
 import org.cactusseam.model.PoolName;
 import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.RegionName;
 import org.cactusseam.model.ServiceState;
 import org.cactusseam.model.ShardId;
+import org.cactusseam.model.admission.PermitRequestId;
 import org.cactusseam.model.message.ShardRolloutReport;
+import org.cactusseam.model.message.ShardRolloutReport.ResponseTotals;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -142,6 +145,7 @@
         boolean failed = isNew && isBad && random.nextDouble() < failures;
         int millis = OLD_MILLIS + random.nextInt(OLD_MILLIS);
         owner.recordResponse(
+            attempt(step),
             server.name(),
             "catalogue",
             failed,
@@ -171,6 +175,79 @@
         .ifPresent(this::record);
   }
 
+  private static PermitRequestId attempt(long number) {
+    return new PermitRequestId(new NodeName("entry-1"), "b1", number);
+  }
+
+  /**
+   * Guards against a good verdict for a version that does not answer a part of its requests, also
+   * when callers give up before the deadlines of their requests.
+   */
+  @ParameterizedTest
+  @CsvSource({"0, GOOD", "2, UNDECIDED", "4, BAD"})
+  void a_version_that_hangs_for_a_part_of_its_requests_is_not_found_good(
+      int hangingOfTen, ShardRolloutReport.Verdict expected) {
+    createShards(1);
+    configureOwners();
+    record(ordered());
+    ShardRollout owner = owners.getFirst();
+    List<Integer> hanging = new ArrayList<>();
+
+    for (int step = 0; step < 1_000; step++) {
+      now = Instant.ofEpochMilli(START + step * 10L);
+      boolean isNew = step % 10 == 0;
+      if (isNew && step / 10 % 10 < hangingOfTen) {
+        hanging.add(step);
+      } else {
+        BackendServerName name = new BackendServerName("r0-" + (isNew ? 3 + step / 10 % 2 : 0));
+        owner.recordResponse(attempt(step), name, "r", false, Duration.ofMillis(OLD_MILLIS));
+      }
+      // Callers give up after 4 s.
+      int first = step - 400;
+      hanging.stream()
+          .filter(sent -> sent > first)
+          .forEach(
+              sent ->
+                  owner.recordUnanswered(
+                      attempt(sent),
+                      new BackendServerName("r0-" + (3 + sent / 10 % 2)),
+                      "r",
+                      Duration.between(Instant.ofEpochMilli(START + sent * 10L), now)));
+      owner.tick(now);
+    }
+
+    assertThat(owner.report().orElseThrow().verdict(), is(expected));
+    assertThat(
+        owner.report().orElseThrow().latest().slow(), lessThanOrEqualTo((long) hanging.size()));
+  }
+
+  /** Guards against late first tokens of both versions that count twice, or before their time. */
+  @Test
+  void a_late_response_is_counted_once() {
+    createShards(1);
+    configureOwners();
+    record(ordered());
+    ShardRollout owner = owners.getFirst();
+    for (int number = 0; number < 50; number++) {
+      owner.recordResponse(
+          attempt(number),
+          new BackendServerName("r0-0"),
+          "r",
+          false,
+          Duration.ofMillis(OLD_MILLIS));
+    }
+    owner.tick(now);
+    BackendServerName latest = new BackendServerName("r0-3");
+
+    owner.recordUnanswered(attempt(100), latest, "r", Duration.ofMillis(1_900));
+    owner.recordUnanswered(attempt(101), latest, "r", Duration.ofMillis(2_500));
+    owner.recordUnanswered(attempt(101), latest, "r", Duration.ofMillis(2_600));
+    owner.recordResponse(attempt(101), latest, "r", false, Duration.ofMillis(3_000));
+    owner.tick(now.plusSeconds(1));
+
+    assertThat(owner.report().orElseThrow().latest(), is(new ResponseTotals(1, 0, 1)));
+  }
+
   /** The log cannot record the revert, as during its outage. */
   @Test
   void an_owner_that_knows_a_bad_verdict_sends_nothing_to_the_version_before_it_is_recorded() {
@@ -181,7 +258,11 @@
       owners
           .getFirst()
           .recordResponse(
-              new BackendServerName("r0-" + (3 + number % 2)), "r", true, Duration.ZERO);
+              attempt(number),
+              new BackendServerName("r0-" + (3 + number % 2)),
+              "r",
+              true,
+              Duration.ZERO);
     }
 
     assertThat(owners.getFirst().permits("v2"), is(true));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -171,7 +171,8 @@
       Duration time = Duration.ofMillis(message.responseMillis());
       shard
           .rollout()
-          .recordResponse(message.server(), message.route().value(), message.failed(), time);
+          .recordResponse(
+              message.attempt(), message.server(), message.route().value(), message.failed(), time);
     }
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/PermitRouter.java
@@ -20,6 +20,7 @@
 import org.cactusseam.model.PoolName;
 import org.cactusseam.model.Refusal;
 import org.cactusseam.model.ResultCode;
+import org.cactusseam.model.RouteName;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.AdmissionDecision;
 import org.cactusseam.model.admission.AttemptEnd;
@@ -214,17 +215,21 @@
         });
   }
 
-  /** Reports a response; an attempt that was refused, cancelled or not sent has none. */
+  /**
+   * Reports a response. An attempt that was refused, cancelled or not sent has none; the owner
+   * counts one that was slow before it was cancelled.
+   */
   private void sendResponse(PermittedAttempt entry, AttemptEnd end) {
     boolean failed = entry.failed || end == AttemptEnd.BROKEN;
     if (failed || end == AttemptEnd.COMPLETED) {
       Instant respondedAt = entry.firstTokenAt.orElseGet(clock::instant);
       long millis = Duration.between(entry.grantedAt, respondedAt).toMillis();
-      ShardId shard = entry.permit.shard();
+      Permit permit = entry.permit;
+      RouteName route = entry.request.route();
       send(
-          shard,
+          permit.shard(),
           new PeerMessage.AttemptResponse(
-              shard, entry.permit.server(), entry.request.route(), failed, millis));
+              permit.shard(), permit.id(), permit.server(), route, failed, millis));
     }
   }
 
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/peer/PeerCodecTest.java
@@ -196,7 +196,7 @@
         new PeerMessage.RequestList(1, new NodeName("entry-1"), List.of(SUMMARY)),
         new PeerMessage.Restriction(serverChange("")),
         new PeerMessage.Restriction(serverChange("v2")),
-        new PeerMessage.AttemptResponse(SHARD, SERVER, new RouteName("r"), true, 250),
+        new PeerMessage.AttemptResponse(SHARD, ATTEMPT, SERVER, new RouteName("r"), true, 250),
         new PeerMessage.ShardRollouts(List.of(ROLLOUT_REPORT)));
   }
 
