Stop a roll-out at the bad verdict that another owner has reported

Cause: an owner that received the bad verdict of another one kept sending requests to the new version until the log contained the revert. While the log was unavailable, or when a shard with a bad verdict got a new owner, a version that was known to be bad went on receiving requests.

Change: each owner takes a reported bad verdict over, sends nothing more to the new version from its next tick on, and reports the verdict itself, so that it also reaches owners that do not hear the first one.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ShardRollout.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/rollout/ShardRollout.java
@@ -60,6 +60,7 @@
     private final Map<EvidenceKey, ResponseCounts> tested = new HashMap<>();
     private final Set<PermitRequestId> countedAsSlow = new HashSet<>();
     private Instant testedAt = Instant.MIN;
+    private Optional<VersionTest.Verdict> reported = Optional.empty();
     private boolean bad;
 
     private Trial(boolean hasAllowance) {
@@ -245,10 +246,29 @@
     return inProgress.isPresent();
   }
 
+  /**
+   * Takes over a bad verdict of the owner of another shard. From the next tick on, the new version
+   * may not serve, before the log contains the revert.
+   *
+   * @param order log offset of the command that the verdict is for
+   * @param verdict bad verdict
+   */
+  public void recordBadVerdict(long order, VersionTest.Verdict verdict) {
+    if (trial.reported.isEmpty() && inProgress.filter(each -> each.order() == order).isPresent()) {
+      trial.reported = Optional.of(verdict);
+      trial.testedAt = Instant.MIN;
+    }
+  }
+
+  private VersionTest.Verdict verdict() {
+    return trial.reported.orElseGet(() -> trial.test.verdict(newServers));
+  }
+
   /**
    * Tests the responses that have arrived since the last call, once a second.
    *
-   * @return whether the new version was found bad by this call, so that it may not serve any more
+   * @return whether the new version is known to be bad since this call, so that it may not serve
+   *     any more
    */
   public boolean tick(Instant now) {
     if (inProgress.isEmpty() || now.isBefore(trial.testedAt.plus(TEST_INTERVAL))) {
@@ -266,7 +286,7 @@
             });
     trial.test.add(added, now);
     boolean wasBad = trial.bad;
-    trial.bad = trial.test.verdict(newServers).kind() == VersionTest.Kind.BAD;
+    trial.bad = verdict().kind() == VersionTest.Kind.BAD;
     return trial.bad && !wasBad;
   }
 
@@ -278,7 +298,7 @@
   public Optional<ShardRolloutReport> report() {
     return inProgress.map(
         current -> {
-          VersionTest.Verdict verdict = trial.test.verdict(newServers);
+          VersionTest.Verdict verdict = verdict();
           return new ShardRolloutReport(
               shard,
               current.order(),
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/rollout/ShardRolloutTest.java
@@ -275,6 +275,28 @@
         owners.getFirst().report().orElseThrow().verdict(), is(ShardRolloutReport.Verdict.BAD));
   }
 
+  /**
+   * Guards against requests to a version that another owner, or the former owner of the shard, has
+   * found bad while the log cannot record the revert.
+   */
+  @ParameterizedTest
+  @CsvSource({"50, false, BAD", "49, true, UNDECIDED"})
+  void an_owner_stops_at_the_bad_verdict_of_another_one(
+      long order, boolean isServed, ShardRolloutReport.Verdict expected) {
+    createShards(1);
+    configureOwners();
+    record(ordered());
+    ShardRollout owner = owners.getFirst();
+    owner.tick(now);
+
+    owner.recordBadVerdict(order, new VersionTest.Verdict(VersionTest.Kind.BAD, "shard 2: slow"));
+
+    assertThat(owner.tick(now), is(!isServed));
+    assertThat(owner.tick(now), is(false));
+    assertThat(owner.permits("v2"), is(isServed));
+    assertThat(owner.report().orElseThrow().verdict(), is(expected));
+  }
+
   /** Guards against an allowance that is used again after each takeover of a shard. */
   @Test
   void an_owner_that_takes_over_during_the_roll_out_has_the_share_without_the_allowance() {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -14,10 +14,12 @@
 import org.cactusseam.logic.admission.AdmissionShard;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.quarantine.QuarantineTable;
+import org.cactusseam.logic.rollout.VersionTest;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.AdmissionDecision;
@@ -109,6 +111,16 @@
         .toList();
   }
 
+  /** Tells the own shards of a pool that the owner of any shard has found the new version bad. */
+  void recordBadVerdict(PoolRollout rollout, VersionTest.Verdict verdict) {
+    shards.forEach(
+        (id, shard) -> {
+          if (id.pool().equals(rollout.pool())) {
+            shard.rollout().recordBadVerdict(rollout.order(), verdict);
+          }
+        });
+  }
+
   /** Returns whether this daemon owns a shard and may grant permits for it. */
   boolean mayGrant(ShardId shard) {
     return shards.containsKey(shard) && mayGrant.test(shard);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RolloutService.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/RolloutService.java
@@ -87,6 +87,9 @@
       rollouts = configuration.all(PoolRollout.class);
     }
     for (PoolRollout rollout : rollouts) {
+      reports
+          .badVerdict(rollout, now)
+          .ifPresent(verdict -> owned.recordBadVerdict(rollout, verdict));
       List<ShardId> shards = shardMap.shardsOf(rollout.pool());
       if (shards.stream().findFirst().filter(owned::mayGrant).isPresent()) {
         List<ShardId> silent = reports.silent(rollout, shards, now);
