--- a/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/admission/Attempt.java
@@ -1,5 +1,7 @@
 package org.cactusseam.logic.admission;
 
+import java.time.Duration;
+import org.cactusseam.logic.rollout.ShardRollout;
 import org.cactusseam.model.admission.Permit;
 import org.cactusseam.model.admission.PermitRequest;
 import org.jspecify.annotations.Nullable;
@@ -80,4 +82,37 @@
   void estimate() {
     expectedTotal = lengthHistograms.expectedTotal(tokens, request.maximumTokens());
   }
+
+  /** Starts this attempt on a server and charges its account for the expected tokens and memory. */
+  void start(ServerState onServer, Permit granted, long now) {
+    server = onServer;
+    permit = granted;
+    grantedAt = now;
+    progressAt = now;
+    estimate();
+    chargedTokens = expectedTotal();
+    ledger.charge(chargedTokens);
+    ledger.addAttempt(promptTokens + chargedTokens);
+    ledger.addHeldMemory(promptTokens);
+    chargedMemory = promptTokens + chargedTokens;
+  }
+
+  /** Reports a running attempt that has no response yet to the roll-out of its pool. */
+  void reportUnanswered(ShardRollout rollout, long now) {
+    ServerState onServer = server;
+    if (onServer != null && tokens == 0) {
+      rollout.recordUnanswered(
+          request.id(),
+          onServer.description().name(),
+          request.route().value(),
+          Duration.ofMillis(now - grantedAt));
+    }
+  }
+
+  /** Corrects the charges of the account when this attempt has ended. */
+  void settle() {
+    ledger.charge(tokens - chargedTokens);
+    ledger.removeAttempt(chargedMemory);
+    ledger.addHeldMemory(-promptTokens - tokens);
+  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/control/OwnedShards.java
@@ -14,10 +14,12 @@
 import org.cactusseam.logic.admission.AdmissionShard;
 import org.cactusseam.logic.membership.ShardMap;
 import org.cactusseam.logic.quarantine.QuarantineTable;
+import org.cactusseam.logic.rollout.VersionTest;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Configuration;
 import org.cactusseam.model.NodeName;
+import org.cactusseam.model.PoolRollout;
 import org.cactusseam.model.ResultCode;
 import org.cactusseam.model.ShardId;
 import org.cactusseam.model.admission.AdmissionDecision;
@@ -27,6 +29,7 @@
 import org.cactusseam.model.admission.PermitRequest;
 import org.cactusseam.model.admission.PermitRequestId;
 import org.cactusseam.model.message.PeerMessage;
+import org.cactusseam.model.message.ShardRolloutReport;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -100,6 +103,29 @@
         .toList();
   }
 
+  /** Returns what this daemon knows about roll-outs as an owner that may grant permits. */
+  List<ShardRolloutReport> rolloutReports() {
+    return shards.entrySet().stream()
+        .filter(entry -> mayGrant.test(entry.getKey()))
+        .flatMap(entry -> entry.getValue().rollout().report().stream())
+        .toList();
+  }
+
+  /** Tells the own shards of a pool that the owner of any shard has found the new version bad. */
+  void recordBadVerdict(PoolRollout rollout, VersionTest.Verdict verdict) {
+    shards.forEach(
+        (id, shard) -> {
+          if (id.pool().equals(rollout.pool())) {
+            shard.rollout().recordBadVerdict(rollout.order(), verdict);
+          }
+        });
+  }
+
+  /** Returns whether this daemon owns a shard and may grant permits for it. */
+  boolean mayGrant(ShardId shard) {
+    return shards.containsKey(shard) && mayGrant.test(shard);
+  }
+
   private AdmissionShard newShard(ShardId id) {
     AdmissionShard shard = new AdmissionShard(id, clock, settings);
     shard.setPlacementRule(quarantine::mayRun);
@@ -151,6 +177,17 @@
     }
   }
 
+  void onAttemptResponse(PeerMessage.AttemptResponse message) {
+    AdmissionShard shard = shards.get(message.shard());
+    if (shard != null) {
+      Duration time = Duration.ofMillis(message.responseMillis());
+      shard
+          .rollout()
+          .recordResponse(
+              message.attempt(), message.server(), message.route().value(), message.failed(), time);
+    }
+  }
+
   void onAttemptEnded(PeerMessage.AttemptEnded message) {
     rounds.remove(message.attempt());
     fingerprints.remove(message.attempt());
