--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -18,6 +18,7 @@
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.IdleConnections;
 import org.cactusseam.logic.gateway.RouteDecision;
+import org.cactusseam.logic.memory.StopDetector;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayRoute;
 import org.cactusseam.model.gateway.GatewayService;
@@ -58,25 +59,19 @@
   /** Time for which the rest of a refused body is discarded, so that the response can be read. */
   private static final long DISCARD_MILLIS = 2_000;
 
-  /**
-   * Checks of the memory are 50 ms apart. After a longer gap the process was stopped, and what
-   * callers sent meanwhile has not been read.
-   */
-  private static final Duration MAX_CHECK_GAP = Duration.ofMillis(250);
-
   private final Gateway gateway;
   private final HttpServer callers;
   private final HttpServer readiness;
   private final HttpServer metrics;
   private final IdleConnections<HttpConnection> idleConnections = new IdleConnections<>();
   private final CallerConnections connections;
-  private Instant memoryCheckedAt;
+  private final StopDetector stops;
   private int bodiesBeingRead;
   private boolean closing;
 
   GatewayServer(Gateway gateway) {
     this.gateway = gateway;
-    this.memoryCheckedAt = gateway.clock().instant();
+    this.stops = new StopDetector(gateway.clock().instant());
     this.connections = new CallerConnections(gateway);
     HttpServerOptions options =
         new HttpServerOptions()
@@ -152,11 +147,10 @@
 
   /** Grants and refuses memory, and closes connections that exceed a limit. */
   void checkMemory(Instant now) {
-    Duration sinceLastCheck = Duration.between(memoryCheckedAt, now);
-    memoryCheckedAt = now;
-    if (sinceLastCheck.compareTo(MAX_CHECK_GAP) > 0) {
-      gateway.memory().skipTime(sinceLastCheck);
-      connections.skipTime(sinceLastCheck, now);
+    Duration stopped = stops.check(now);
+    if (!stopped.isZero()) {
+      gateway.memory().skipTime(stopped);
+      connections.skipTime(stopped, now);
     }
     gateway.memory().tick();
     connections.tick(now);
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
@@ -3,10 +3,13 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
@@ -232,4 +235,25 @@
 
     assertThat(connection.hasUnfinishedRequest(), is(true));
   }
+
+  /** Guards against a close that waits for a peer that does not read what was written. */
+  @Test
+  void a_close_does_not_wait_for_what_the_peer_has_not_read() {
+    channel
+        .pipeline()
+        .addFirst(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void flush(ChannelHandlerContext context) {
+                // The peer does not read, so nothing that was written leaves the queue.
+              }
+            });
+    channel.write(Unpooled.wrappedBuffer(new byte[READ_BYTES]));
+    channel.flush();
+    // The queue counts the buffer with the size of its entry.
+    assertThat(meter.unsent(), greaterThanOrEqualTo((long) READ_BYTES));
+
+    meter.closeNow();
+    assertThat(channel.isOpen(), is(false));
+  }
 }
