Bound the memory and connections of callers at the daemon

Cause: the callers' port of the entry daemon read every body without a bound on all of them together, and accepted more connections than the process has descriptors. Six cases of UncontrolledDaemonClientsTest failed: no ordinary request was answered afterwards. Change: the gateway's classes move from edge.gateway to edge.client and take their limits as parameters; the callers' port uses them with one budget for each event loop. A request without memory is refused with the new result code 3010 (503, not run, Retry-After) before its body is read. Settings limits.client-memory-percent and limits.reserved-descriptors. The port speaks HTTP/1.1 only, because a connection is counted for one request at a time. The gateway passes its previous values. The operators' port has no budget yet, and the state of the budget is not in the metrics.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/ResultCode.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/ResultCode.java
@@ -45,6 +45,8 @@
   BACKEND_UNAVAILABLE(3008, 503, Execution.NOT_RUN),
   /** Requests with this content crashed backend servers. */
   QUARANTINED(3009, 422, Execution.NOT_RUN),
+  /** The entry daemon has no memory for the body, and has not read it. */
+  MEMORY_EXHAUSTED(3010, 503, Execution.NOT_RUN),
   /** The backend server failed after it may have started the request. */
   BACKEND_FAILED(4001, 502, Execution.MAY_HAVE_RUN),
   /** The stream failed and cannot be resumed. */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/EntryDaemon.java
@@ -136,7 +136,9 @@
   private Future<Void> deployCallerServers(CallerServices services) {
     return vertx
         .deployVerticle(
-            () -> new CallerServer(services, this::refusalOfAllRequests, this::isReady),
+            () ->
+                new CallerServer(
+                    services, this::refusalOfAllRequests, this::isReady, TRAFFIC_EVENT_LOOPS),
             new DeploymentOptions().setInstances(TRAFFIC_EVENT_LOOPS))
         .mapEmpty();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/caller/CallerServer.java
@@ -1,5 +1,7 @@
 package org.cactusseam.edge.caller;
 
+import static org.cactusseam.edge.logging.StructuredLog.field;
+
 import com.google.common.hash.Hashing;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
@@ -14,8 +16,9 @@
 import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import io.vertx.ext.web.handler.BodyHandler;
+import io.vertx.ext.web.impl.RoutingContextInternal;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -23,6 +26,10 @@
 import org.cactusseam.edge.backend.BackendConnections;
 import org.cactusseam.edge.backend.GenerationRelay;
 import org.cactusseam.edge.backend.Headers;
+import org.cactusseam.edge.client.BodyReader;
+import org.cactusseam.edge.client.CallerConnection;
+import org.cactusseam.edge.client.CallerConnections;
+import org.cactusseam.edge.client.ClientMemory;
 import org.cactusseam.edge.control.RoutingView;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.edge.settings.Settings;
@@ -43,6 +50,8 @@
   private static final String ACCOUNT = "account";
   private static final String BEARER = "Bearer ";
   private static final String BODY_TIMER = "body-timer";
+  private static final String READER = "reader";
+  private static final String CONTINUE = "100-continue";
 
   /**
    * Time for a request body to arrive. The connection is closed after that, since it may be
@@ -51,6 +60,10 @@
   private static final long BODY_TIMEOUT_MILLIS = 20_000;
 
   private static final int IDLE_TIMEOUT_SECONDS = 600;
+
+  /** Shorter than the gap at which a stop of the process is assumed. */
+  private static final long CHECK_MILLIS = 50;
+
   private static final int STATUS_PAYLOAD_TOO_LARGE = 413;
 
   /** Typical size of a token event with its id, to convert a number of events to bytes. */
@@ -64,6 +77,8 @@
   private final Supplier<Optional<Refusal>> refusalForAll;
   private final BooleanSupplier isReady;
   private final HttpClient client;
+  private final EventLoopLimits eventLoopLimits;
+  private final CallerConnections connections;
 
   /**
    * Creates a server that does not listen yet.
@@ -72,13 +87,28 @@
    * @param refusalForAll returns the refusal for all new requests, or empty while requests are
    *     accepted
    * @param isReady whether the load balancer should send requests to this daemon
+   * @param eventLoops number of instances, which share the limits of the process
    */
   public CallerServer(
-      CallerServices services, Supplier<Optional<Refusal>> refusalForAll, BooleanSupplier isReady) {
+      CallerServices services,
+      Supplier<Optional<Refusal>> refusalForAll,
+      BooleanSupplier isReady,
+      int eventLoops) {
     this.services = services;
     this.refusalForAll = refusalForAll;
     this.isReady = isReady;
     this.client = BackendConnections.createClient(services.vertx());
+    this.eventLoopLimits = EventLoopLimits.ofProcess(services.settings().limits(), eventLoops);
+    this.connections =
+        new CallerConnections(
+            services.vertx(),
+            services.clock(),
+            new ClientMemory(
+                services.clock(), eventLoopLimits.memoryBytes(), eventLoopLimits.maxHeadBytes()),
+            new CallerConnections.Limits(
+                eventLoopLimits.maximumConnections(),
+                () -> Duration.ofSeconds(IDLE_TIMEOUT_SECONDS)),
+            limit -> {});
   }
 
   @Override
@@ -86,9 +116,14 @@
     Settings settings = services.settings();
     HttpServerOptions options = options(settings.limits().headerBytes());
     settings.tls().caller().ifPresent(certificate -> useTls(options, certificate));
+    Router router = router();
+    vertx.setPeriodic(CHECK_MILLIS, timer -> connections.check());
     return vertx
         .createHttpServer(options)
-        .requestHandler(router())
+        .connectionHandler(this::open)
+        .requestHandler(
+            request ->
+                connections.receive(request, connection -> receive(request, connection, router)))
         .invalidRequestHandler(CallerServer::rejectInvalid)
         .listen(settings.addresses().caller().port(), settings.addresses().caller().host());
   }
@@ -105,12 +140,31 @@
     return new HttpServerOptions()
         .setMaxHeaderSize(headerBytes)
         .setStrictThreadMode(true)
+        // The memory of a connection is counted for one request at a time.
+        .setHttp2ClearTextEnabled(false)
+        .setUseAlpn(false)
+        .setMaxInitialLineLength(EventLoopLimits.REQUEST_LINE_BYTES)
         .setDecoderInitialBufferSize(BackendConnections.HEADER_LINE_BYTES)
         .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
         .setTcpKeepAlive(true)
         .setTcpNoDelay(true);
   }
 
+  private void open(HttpConnection connection) {
+    connections.open(connection);
+    connection.closeHandler(closed -> connections.remove(connection));
+  }
+
+  private void receive(HttpServerRequest request, CallerConnection connection, Router router) {
+    BodyReader reader =
+        connections.start(
+            request, connection, services.settings().limits().bodyBytes(), ended -> {});
+    router.handle(request);
+    if (!reader.isStarted()) {
+      connections.discardRest(request, reader, () -> {});
+    }
+  }
+
   private static void useTls(HttpServerOptions options, Settings.Certificate certificate) {
     options
         .setSsl(true)
@@ -123,11 +177,15 @@
   private Router router() {
     Router router = Router.router(vertx);
     router.get("/ready").handler(this::handleReady);
-    router.route().handler(this::authenticate);
     router
         .route()
-        .handler(BodyHandler.create(false).setBodyLimit(services.settings().limits().bodyBytes()));
-    router.route().handler(this::handleBodyArrived);
+        .handler(
+            context -> {
+              context.put(READER, connections.currentReader(context.request().connection()));
+              context.next();
+            });
+    router.route().handler(this::authenticate);
+    router.route().handler(this::readBody);
     router.post("/v1/completions").handler(this::handleModelRequest);
     router.post("/v1/chat/completions").handler(this::handleModelRequest);
     router.get("/v1/generations/:generation").handler(this::handleResume);
@@ -166,7 +224,7 @@
           new Refusal(
               ResultCode.OVERLOADED,
               "this VM has reached its limit of concurrent requests",
-              java.time.Duration.ofSeconds(1)));
+              Duration.ofSeconds(1)));
       return;
     }
     context.put(ACCOUNT, account.get());
@@ -176,9 +234,41 @@
     context.next();
   }
 
-  private void handleBodyArrived(RoutingContext context) {
-    cancelBodyTimer(context);
-    context.next();
+  private void readBody(RoutingContext context) {
+    HttpServerRequest request = context.request();
+    BodyReader reader = context.get(READER);
+    if (reader.announcedBodyBytes() > services.settings().limits().bodyBytes()) {
+      context.fail(STATUS_PAYLOAD_TOO_LARGE);
+      return;
+    }
+    if (CONTINUE.equalsIgnoreCase(request.getHeader("Expect"))) {
+      context.response().writeContinue();
+    }
+    reader
+        .read()
+        .onComplete(read -> cancelBodyTimer(context))
+        .onSuccess(
+            result -> {
+              switch (result) {
+                case BodyReader.Result.Complete complete -> {
+                  if (complete.body().length() > 0) {
+                    ((RoutingContextInternal) context).setBody(complete.body());
+                  }
+                  context.next();
+                }
+                case BodyReader.Result.TooLong tooLong -> context.fail(STATUS_PAYLOAD_TOO_LARGE);
+                case BodyReader.Result.Refused refused -> {
+                  refuse(
+                      context,
+                      new Refusal(
+                          ResultCode.MEMORY_EXHAUSTED,
+                          "the request was not read, limit: " + refused.limit(),
+                          Duration.ofSeconds(1)));
+                  connections.discardRest(request, reader, () -> {});
+                }
+              }
+            })
+        .onFailure(cause -> LOG.debug("request_broken_off", field("cause", cause.getMessage())));
   }
 
   private void cancelBodyTimer(RoutingContext context) {
@@ -217,6 +307,7 @@
 
   private void startModelRequest(RoutingContext context, RequestInfo info, JsonObject body) {
     releaseBody(context.request());
+    context.<BodyReader>get(READER).dropDecoded();
     HttpServerResponse response = context.response();
     response.putHeader(Headers.REQUEST, info.id());
     response.exceptionHandler(cause -> {});
@@ -376,11 +467,11 @@
     }
     Buffer body = Optional.ofNullable(context.body().buffer()).orElseGet(Buffer::buffer);
     String fingerprint =
-        Hashing.sha256()
-            .newHasher()
-            .putString(account.name() + "|" + route.name() + "|", StandardCharsets.UTF_8)
-            .putBytes(body.getBytes())
-            .hash()
+        BodyReader.hash(
+                body,
+                Hashing.sha256()
+                    .newHasher()
+                    .putString(account.name() + "|" + route.name() + "|", StandardCharsets.UTF_8))
             .toString();
     return Optional.of(
         new RequestInfo(
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BodyReader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/client/BodyReader.java
@@ -1,4 +1,4 @@
-package org.cactusseam.edge.gateway;
+package org.cactusseam.edge.client;
 
 import com.google.common.hash.HashCode;
 import com.google.common.hash.Hasher;
@@ -15,10 +15,10 @@
  * Reads a request body up to a size limit, after the memory for it is reserved. A longer body, and
  * one for which there is no memory, is discarded. The memory is held until {@link #release}.
  */
-final class BodyReader implements ClientMemory.Owner {
+public final class BodyReader implements ClientMemory.Owner {
 
   /** Counted for the head of a request and the state of its exchange. */
-  private static final long REQUEST_BYTES = 8 << 10;
+  static final long REQUEST_BYTES = 8 << 10;
 
   /** First reservation for a body without an announced length. */
   private static final int FIRST_BODY_BYTES = 4 << 10;
@@ -32,7 +32,7 @@
   private static final int HASHED_PART_BYTES = 16 << 10;
 
   /** Outcome of reading a body. */
-  sealed interface Result {
+  public sealed interface Result {
 
     /**
      * The body is complete.
@@ -62,6 +62,7 @@
   private @Nullable Buffer waitingPart;
   private long reservedBodyBytes = -1;
   private long bodyBytes;
+  private boolean isStarted;
   private boolean isDiscarding;
   private boolean isWaiting;
   private boolean isEnded;
@@ -98,13 +99,50 @@
     return bytes;
   }
 
-  /** Returns the announced length of the body, zero if none is announced. */
-  long announcedBodyBytes() {
+  /**
+   * Returns the announced length of the body.
+   *
+   * @return length in bytes, zero if none is announced
+   */
+  public long announcedBodyBytes() {
     return Math.max(0, announcedBytes);
   }
 
-  /** Reads the body. Fails if the connection is closed before the end of the body. */
-  Future<Result> read() {
+  /**
+   * Reads the body.
+   *
+   * @return outcome; fails if the connection is closed before the end of the body
+   */
+  public Future<Result> read() {
+    receive();
+    if (announcedBytes > limit) {
+      isDiscarding = true;
+    } else if (reserve(announcedBytes < 0 ? FIRST_BODY_BYTES : announcedBytes)) {
+      allocate();
+    }
+    return result.future();
+  }
+
+  /**
+   * Returns whether the body is being read or discarded.
+   *
+   * @return whether it has been started
+   */
+  public boolean isStarted() {
+    return isStarted;
+  }
+
+  /** Discards the body of a request that is answered without it, if it is not read. */
+  void discardUnlessStarted() {
+    if (!isStarted) {
+      isDiscarding = true;
+      result.tryComplete(new Result.TooLong());
+      receive();
+    }
+  }
+
+  private void receive() {
+    isStarted = true;
     request.handler(this::append);
     request.exceptionHandler(
         cause -> {
@@ -117,12 +155,6 @@
           result.tryComplete(isDiscarding ? new Result.TooLong() : new Result.Complete(body));
           end();
         });
-    if (announcedBytes > limit) {
-      isDiscarding = true;
-    } else if (reserve(announcedBytes < 0 ? FIRST_BODY_BYTES : announcedBytes)) {
-      allocate();
-    }
-    return result.future();
   }
 
   private void end() {
@@ -131,7 +163,11 @@
     endActions.clear();
   }
 
-  /** Runs an action when the caller has sent the whole body, also if it was discarded. */
+  /**
+   * Runs an action when the caller has sent the whole body, also if it was discarded.
+   *
+   * @param action action that is run once
+   */
   void whenEnded(Runnable action) {
     if (isEnded) {
       action.run();
@@ -230,8 +266,14 @@
     release();
   }
 
-  /** Adds a body to a hash, in parts: a copy of the whole body would need its memory twice. */
-  static HashCode hash(Buffer hashed, Hasher hasher) {
+  /**
+   * Adds a body to a hash, in parts: a copy of the whole body would need its memory twice.
+   *
+   * @param hashed body
+   * @param hasher hash to which the body is added
+   * @return hash of everything that was added
+   */
+  public static HashCode hash(Buffer hashed, Hasher hasher) {
     for (int start = 0; start < hashed.length(); start += HASHED_PART_BYTES) {
       hasher.putBytes(hashed.getBytes(start, Math.min(hashed.length(), start + HASHED_PART_BYTES)));
     }
@@ -253,6 +295,18 @@
     return bodyBytes;
   }
 
+  /**
+   * Drops the body and the head after they have been decoded. What was decoded is counted with the
+   * length of the body until the response has ended.
+   */
+  public void dropDecoded() {
+    body = Buffer.buffer();
+    if (!connection.isClosed()) {
+      memory.reserve(this, connection.address(), bodyBytes);
+      connection.releaseDeliveredHead();
+    }
+  }
+
   /** Ends the reservation, and drops the body. */
   void release() {
     body = Buffer.buffer();
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/CallerConnection.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/client/CallerConnection.java
@@ -1,4 +1,4 @@
-package org.cactusseam.edge.gateway;
+package org.cactusseam.edge.client;
 
 import io.vertx.core.http.HttpConnection;
 import java.time.Duration;
@@ -12,23 +12,14 @@
  * Connection of a caller, with what it has transferred. Owns the reservation for heads; {@link
  * BodyReader} owns that for a body.
  */
-final class CallerConnection implements ClientMemory.Owner {
+public final class CallerConnection implements ClientMemory.Owner {
 
   /**
-   * Bytes received for one request beside its body. Covers the longest head and requests that
-   * follow on the same connection.
-   */
-  private static final long MAX_FRAMING_BYTES = 128 << 10;
-
-  /**
-   * Bytes received for each byte of a body, beyond {@link #MAX_FRAMING_BYTES}. Chunks of one byte
-   * take six, and decoding them takes the event loop from the other callers.
+   * Bytes received for each byte of a body, beyond {@link ClientMemory#maxFramingBytes}. Chunks of
+   * one byte take six, and decoding them takes the event loop from the other callers.
    */
   private static final long MAX_BYTES_PER_BODY_BYTE = 3;
 
-  /** Memory for each byte of a head: a header line of six bytes takes up to 200 when decoded. */
-  private static final long MEMORY_PER_HEAD_BYTE = 32;
-
   /** Three times the time that ordinary callers take for a head, {@code header_timeout_ms}. */
   private static final Duration MAX_HEAD_TIME = Duration.ofSeconds(9);
 
@@ -143,7 +134,7 @@
       return ConnectionMeter.Decision.DISCARD;
     }
     headBytes += lastReadBytes;
-    isWaiting = !memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+    isWaiting = !memory.reserve(this, address, headBytes * ClientMemory.MEMORY_PER_HEAD_BYTE);
     if (!isWaiting) {
       recordIncompleteHead();
     }
@@ -154,7 +145,7 @@
     if (hasOpenRequest() || headBytes == 0) {
       memory.incompleteHeads().remove(this);
     } else {
-      memory.incompleteHeads().record(this, headBytes * MEMORY_PER_HEAD_BYTE);
+      memory.incompleteHeads().record(this, headBytes * ClientMemory.MEMORY_PER_HEAD_BYTE);
     }
   }
 
@@ -205,7 +196,7 @@
   void retryRefused() {
     if (isRefused && !isClosed && !hasOpenRequest() && meter.unsent() == 0) {
       isRefused = false;
-      if (memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE)) {
+      if (memory.reserve(this, address, headBytes * ClientMemory.MEMORY_PER_HEAD_BYTE)) {
         onGranted();
       }
     }
@@ -227,10 +218,17 @@
     long reduced = Math.max(bytes, deliveredHeadBytes);
     if (!isClosed && !isWaiting && reduced < headBytes) {
       headBytes = reduced;
-      memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+      memory.reserve(this, address, headBytes * ClientMemory.MEMORY_PER_HEAD_BYTE);
     }
   }
 
+  /** Ends the reservation for the head of the current request, because its headers are dropped. */
+  void releaseDeliveredHead() {
+    long following = Math.max(0, headBytes - deliveredHeadBytes);
+    deliveredHeadBytes = 0;
+    shrinkHead(following);
+  }
+
   /** A body that was refused may end after its response. */
   private void recordBodyEnd() {
     if (!hasOpenRequest()) {
@@ -259,7 +257,7 @@
     if (headBytes == 0) {
       memory.release(this);
     } else {
-      memory.reserve(this, address, headBytes * MEMORY_PER_HEAD_BYTE);
+      memory.reserve(this, address, headBytes * ClientMemory.MEMORY_PER_HEAD_BYTE);
     }
   }
 
@@ -299,7 +297,7 @@
     }
     long bodyBytes = reader == null || !hasOpenRequest() ? 0 : reader.bodyBytes();
     long framing = meter.received() - receivedBefore - bodyBytes * MAX_BYTES_PER_BODY_BYTE;
-    return framing > MAX_FRAMING_BYTES
+    return framing > memory.maxFramingBytes()
         ? Optional.of(!hasOpenRequest() ? "head_bytes" : "framing_bytes")
         : Optional.empty();
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ClientMemory.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/client/ClientMemory.java
@@ -1,19 +1,18 @@
-package org.cactusseam.edge.gateway;
+package org.cactusseam.edge.client;
 
 import java.time.Clock;
 import java.time.Duration;
 import org.cactusseam.logic.memory.IncompleteHeads;
 import org.cactusseam.logic.memory.MemoryBudget;
-import org.cactusseam.model.gateway.MemorySettings;
 
 /** Memory of this process that is held for callers. Tells owners when theirs is granted. */
-final class ClientMemory {
+public final class ClientMemory {
 
   /**
-   * Default share of the heap. The rest is for the state of the gateway, for responses, and for
+   * Default share of the heap. The rest is for the state of the process, for responses, and for
    * what the collector has not freed yet.
    */
-  private static final double HEAP_SHARE = 0.4;
+  public static final double HEAP_SHARE = 0.4;
 
   /** Owner of a reservation. */
   interface Owner {
@@ -25,21 +24,58 @@
     void onRefused();
   }
 
-  /** Memory of the longest head that the library decodes, 32 KiB. */
-  private static final long MAX_HEAD_MEMORY = 1 << 20;
+  /** Memory for each byte of a head: a header line of six bytes takes up to 200 when decoded. */
+  static final long MEMORY_PER_HEAD_BYTE = 32;
+
+  /**
+   * Bytes received for one request beside its body, as a multiple of the longest head. Covers the
+   * head and requests that follow on the same connection.
+   */
+  private static final long FRAMING_FACTOR = 4;
+
+  /** One address can have 9/16 of a budget, see {@link MemoryBudget.Limits}. */
+  private static final long ADDRESS_DIVISOR = 2;
+
+  /** Incomplete heads can have 3/16 of a budget, see {@link IncompleteHeads}. */
+  private static final long INCOMPLETE_HEADS_DIVISOR = 6;
 
   private final Clock clock;
   private final MemoryBudget.Limits limits;
   private final IncompleteHeads<CallerConnection> incompleteHeads;
   private final MemoryBudget<Owner> budget;
+  private final long maxFramingBytes;
 
-  ClientMemory(Clock clock, MemorySettings settings) {
+  /**
+   * Creates an unused budget.
+   *
+   * @param clock source of the current time
+   * @param totalBytes bytes that are held for all clients together
+   * @param maxHeadBytes longest head that the HTTP decoder accepts
+   */
+  public ClientMemory(Clock clock, long totalBytes, int maxHeadBytes) {
     this.clock = clock;
-    long total =
-        settings.clientBytes().orElse((long) (Runtime.getRuntime().maxMemory() * HEAP_SHARE));
-    this.limits = MemoryBudget.Limits.ofTotal(total);
+    this.limits = MemoryBudget.Limits.ofTotal(totalBytes);
     this.budget = new MemoryBudget<>(limits);
-    this.incompleteHeads = new IncompleteHeads<>(limits, MAX_HEAD_MEMORY);
+    this.incompleteHeads = new IncompleteHeads<>(limits, maxHeadBytes * MEMORY_PER_HEAD_BYTE);
+    this.maxFramingBytes = FRAMING_FACTOR * maxHeadBytes;
+  }
+
+  /**
+   * Returns the size of the smallest budget that serves every single request within the limits.
+   *
+   * @param bodyBytes longest body
+   * @param maxHeadBytes longest head that the HTTP decoder accepts
+   * @return size in bytes
+   */
+  public static long minimumBytes(int bodyBytes, int maxHeadBytes) {
+    long headMemory = maxHeadBytes * MEMORY_PER_HEAD_BYTE;
+    long requestMemory = headMemory + BodyReader.REQUEST_BYTES + bodyBytes;
+    return Math.max(ADDRESS_DIVISOR * requestMemory, INCOMPLETE_HEADS_DIVISOR * headMemory);
+  }
+
+  /** Returns the maximum of the bytes of a request beside its body. */
+  long maxFramingBytes() {
+    return maxFramingBytes;
   }
 
   /** Reserves bytes; if this returns false, the owner is called later. */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/ConnectionMeter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/client/ConnectionMeter.java
@@ -1,4 +1,4 @@
-package org.cactusseam.edge.gateway;
+package org.cactusseam.edge.client;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -51,7 +51,6 @@
   private final HeaderCodec headerCodec;
   private final EngineClient engineClient;
   private final HttpClient client;
-  private final ClientMemory memory;
   private final RequestQuarantine quarantine;
   private final RouteTable routes = new RouteTable();
   private final ServerTable servers = new ServerTable();
@@ -98,7 +97,6 @@
     this.headerCodec = headerCodec;
     this.engineClient = engineClient;
     this.client = BackendConnections.createClient(vertx);
-    this.memory = new ClientMemory(clock, settings.features().memory());
     this.quarantine =
         new RequestQuarantine(vertx, clock, settings.node(), leavingServers::isLeaving);
     // Runs after the current callback, because ending a request changes the collections in use.
@@ -152,10 +150,6 @@
     return client;
   }
 
-  ClientMemory memory() {
-    return memory;
-  }
-
   RequestQuarantine quarantine() {
     return quarantine;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -108,7 +108,7 @@
     runStep("quarantine", () -> gateway.quarantine().tick(convictionStore, now));
     runStep("rollouts", () -> rolloutCoordinator.tick(now));
     runStep("connections", () -> checkIdleConnections(now));
-    runStep("memory", () -> server.checkMemory(now));
+    runStep("memory", server::checkMemory);
     runStep("reports", () -> reportPoller.tick(recordCache.isStoreUnavailable(), now));
     gateway.active().forEach(exchange -> runStep("request", () -> exchange.tick(now)));
     runStep("queues", gateway::startQueued);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayServer.java
@@ -15,10 +15,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.cactusseam.edge.client.BodyReader;
+import org.cactusseam.edge.client.CallerConnection;
+import org.cactusseam.edge.client.CallerConnections;
+import org.cactusseam.edge.client.ClientMemory;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.IdleConnections;
 import org.cactusseam.logic.gateway.RouteDecision;
-import org.cactusseam.logic.memory.StopDetector;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayRoute;
 import org.cactusseam.model.gateway.GatewayService;
@@ -56,8 +59,12 @@
   /** Memory is granted within 500 ms or refused; other VMs may have more. */
   private static final String RETRY_AFTER_UNREAD = "0.8";
 
-  /** Time for which the rest of a refused body is discarded, so that the response can be read. */
-  private static final long DISCARD_MILLIS = 2_000;
+  /**
+   * A caller without progress is given this multiple of the configured idle timeout, of which
+   * callers use up to four fifths. As for idle connections, a newer configuration may be known to
+   * callers first.
+   */
+  private static final double PROGRESS_TIME_FACTOR = 1.6;
 
   private final Gateway gateway;
   private final HttpServer callers;
@@ -65,14 +72,22 @@
   private final HttpServer metrics;
   private final IdleConnections<HttpConnection> idleConnections = new IdleConnections<>();
   private final CallerConnections connections;
-  private final StopDetector stops;
   private int bodiesBeingRead;
   private boolean closing;
 
   GatewayServer(Gateway gateway) {
     this.gateway = gateway;
-    this.stops = new StopDetector(gateway.clock().instant());
-    this.connections = new CallerConnections(gateway);
+    this.connections =
+        new CallerConnections(
+            gateway.vertx(),
+            gateway.clock(),
+            createMemory(),
+            new CallerConnections.Limits(
+                gateway.settings().features().memory().maximumConnections(), this::progressTime),
+            limit ->
+                gateway
+                    .metrics()
+                    .increment("cactusseam_connections_closed_total{limit=\"" + limit + "\"}"));
     HttpServerOptions options =
         new HttpServerOptions()
             .setTcpNoDelay(true)
@@ -92,6 +107,22 @@
     this.metrics = createInternalServer().requestHandler(this::handleMetrics);
   }
 
+  private ClientMemory createMemory() {
+    long total =
+        gateway
+            .settings()
+            .features()
+            .memory()
+            .clientBytes()
+            .orElse((long) (Runtime.getRuntime().maxMemory() * ClientMemory.HEAP_SHARE));
+    return new ClientMemory(gateway.clock(), total, MAX_HEADER_BYTES);
+  }
+
+  private Duration progressTime() {
+    Duration idleTimeout = gateway.routes().limits().idleTimeout();
+    return Duration.ofMillis((long) (idleTimeout.toMillis() * PROGRESS_TIME_FACTOR));
+  }
+
   /** Creates a server of which the oldest connection is closed if there are too many. */
   private HttpServer createInternalServer() {
     Set<HttpConnection> open = new LinkedHashSet<>();
@@ -146,14 +177,8 @@
   }
 
   /** Grants and refuses memory, and closes connections that exceed a limit. */
-  void checkMemory(Instant now) {
-    Duration stopped = stops.check(now);
-    if (!stopped.isZero()) {
-      gateway.memory().skipTime(stopped);
-      connections.skipTime(stopped, now);
-    }
-    gateway.memory().tick();
-    connections.tick(now);
+  void checkMemory() {
+    connections.check();
   }
 
   private void onConnected(HttpConnection connection) {
@@ -179,27 +204,7 @@
   }
 
   private void receive(HttpServerRequest request) {
-    CallerConnection connection = connections.find(request.connection());
-    if (connection == null) {
-      // The connection was closed for a limit while this request waited behind another one.
-      request.connection().close();
-    } else if (connection.meter().isWritable()) {
-      receive(request, connection);
-    } else {
-      // The caller has not read the response before this one. Without the wait, the responses to
-      // all requests that it has sent at once would be held.
-      request.pause();
-      connection
-          .meter()
-          .onceWritable(
-              () -> {
-                if (connection.isClosed()) {
-                  return;
-                }
-                receive(request, connection);
-                request.resume();
-              });
-    }
+    connections.receive(request, connection -> receive(request, connection));
   }
 
   private void receive(HttpServerRequest request, CallerConnection connection) {
@@ -209,22 +214,13 @@
       return;
     }
     Instant receivedAt = gateway.clock().instant();
-    BodyReader reader =
-        new BodyReader(
-            request, gateway.routes().limits().bodyBytes(), connection, gateway.memory());
     idleConnections.recordRequestStart(request.connection());
-    connection.recordRequestStart(reader, receivedAt);
-    request
-        .response()
-        .endHandler(
-            ended -> {
-              Instant now = gateway.clock().instant();
-              idleConnections.recordRequestEnd(request.connection(), now);
-              connection.recordRequestEnd(now);
-              reader.release();
-              // A request that has arrived behind this one is started first.
-              gateway.vertx().runOnContext(ignored -> connection.releaseHead());
-            });
+    BodyReader reader =
+        connections.start(
+            request,
+            connection,
+            gateway.routes().limits().bodyBytes(),
+            ended -> idleConnections.recordRequestEnd(request.connection(), ended));
     bodiesBeingRead++;
     reader
         .read()
@@ -253,11 +249,10 @@
       request.response().putHeader("Retry-After", RETRY_AFTER_UNREAD);
     }
     reject(request, STATUS_UNAVAILABLE, "the request was not read, limit: " + limit);
-    long timer = gateway.vertx().setTimer(DISCARD_MILLIS, elapsed -> request.connection().close());
-    // A close with unread bytes is a reset, and the caller could lose the response.
-    reader.whenEnded(
+    connections.discardRest(
+        request,
+        reader,
         () -> {
-          gateway.vertx().cancelTimer(timer);
           if (isDraining) {
             request.connection().close();
           }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestFingerprints.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestFingerprints.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cactusseam.edge.client.BodyReader;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayAccount;
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/Settings.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/Settings.java
@@ -137,13 +137,17 @@
    * @param concurrentRequests maximum number of requests served concurrently
    * @param slowReaderTimeout time after which a caller that does not read from a full buffer is
    *     disconnected
+   * @param clientMemoryPercent share of the heap that is held for callers
+   * @param reservedDescriptors file descriptors that are kept for what is not a caller's connection
    */
   public record Limits(
       int bodyBytes,
       int headerBytes,
       int eventsPerStream,
       int concurrentRequests,
-      Duration slowReaderTimeout) {}
+      Duration slowReaderTimeout,
+      int clientMemoryPercent,
+      int reservedDescriptors) {}
 
   /**
    * Periods of a graceful shutdown.
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsKeys.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsKeys.java
@@ -87,6 +87,10 @@
           "limits.slow-reader-timeout",
           duration(Duration.ofMillis(100), Duration.ofMinutes(10)),
           "30s");
+  static final SettingKey<Integer> CLIENT_MEMORY_PERCENT =
+      SettingKey.withDefault("limits.client-memory-percent", integer(1, 80), "40");
+  static final SettingKey<Integer> RESERVED_DESCRIPTORS =
+      SettingKey.withDefault("limits.reserved-descriptors", integer(16, 1_000_000), "128");
 
   static final SettingKey<Duration> GRACE =
       SettingKey.withDefault(
@@ -134,6 +138,8 @@
           EVENTS_PER_STREAM,
           CONCURRENT_REQUESTS,
           SLOW_READER_TIMEOUT,
+          CLIENT_MEMORY_PERCENT,
+          RESERVED_DESCRIPTORS,
           GRACE,
           DRAIN,
           ADMISSION_PRESET,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/settings/SettingsLoader.java
@@ -242,7 +242,9 @@
           get(SettingsKeys.HEADER_BYTES),
           get(SettingsKeys.EVENTS_PER_STREAM),
           get(SettingsKeys.CONCURRENT_REQUESTS),
-          get(SettingsKeys.SLOW_READER_TIMEOUT));
+          get(SettingsKeys.SLOW_READER_TIMEOUT),
+          get(SettingsKeys.CLIENT_MEMORY_PERCENT),
+          get(SettingsKeys.RESERVED_DESCRIPTORS));
     }
 
     private Settings.Admission admission() {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/CallerConnectionTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/client/CallerConnectionTest.java
@@ -1,4 +1,4 @@
-package org.cactusseam.edge.gateway;
+package org.cactusseam.edge.client;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -22,8 +22,6 @@
 import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
-import org.cactusseam.model.gateway.MemorySettings;
 import org.junit.jupiter.api.Test;
 
 /** Guards against limits on memory that cut off the requests of sound callers. */
@@ -51,8 +49,7 @@
           return now;
         }
       };
-  private final ClientMemory memory =
-      new ClientMemory(clock, new MemorySettings(OptionalLong.of(TOTAL_BYTES), 10));
+  private final ClientMemory memory = new ClientMemory(clock, TOTAL_BYTES, 32 << 10);
   private final ConnectionMeter meter = new ConnectionMeter();
   private final EmbeddedChannel channel = new EmbeddedChannel(meter);
   private final List<String> closed = new ArrayList<>();
--- a/cactusseam-standins/src/test/java/org/cactusseam/system/UncontrolledDaemonClientsTest.java
+++ b/cactusseam-standins/src/test/java/org/cactusseam/system/UncontrolledDaemonClientsTest.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.parallel.Isolated;
@@ -139,13 +138,11 @@
   }
 
   @Test
-  @Tag("known-failure")
   void one_byte_chunks() throws Exception {
     check(Port.CALLERS, oneByteChunks());
   }
 
   @Test
-  @Tag("known-failure")
   void whole_bodies_that_stop_just_short() throws Exception {
     checkWholeBodiesThatStopJustShort(Port.CALLERS);
   }
@@ -160,7 +157,6 @@
   }
 
   @Test
-  @Tag("known-failure")
   void bodies_in_pieces_that_stop_just_short() throws Exception {
     checkBodiesInPiecesThatStopJustShort(Port.CALLERS);
   }
@@ -182,7 +178,6 @@
   }
 
   @Test
-  @Tag("known-failure")
   void chunked_bodies_that_stop_just_short() throws Exception {
     checkChunkedBodiesThatStopJustShort(Port.CALLERS);
   }
@@ -229,7 +224,6 @@
   }
 
   @Test
-  @Tag("known-failure")
   void more_connections_than_descriptors() throws Exception {
     clients.check(
         Port.CALLERS,
@@ -238,7 +232,6 @@
   }
 
   @Test
-  @Tag("known-failure")
   void two_sets_of_clients_at_once() throws Exception {
     check(Port.CALLERS, wholeBody(Port.CALLERS), oneByteChunks());
   }
