--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -144,7 +144,7 @@
       case QUARANTINE -> gateway.quarantine().tick(convictionStore, now);
       case ROLLOUTS -> rolloutCoordinator.tick(now);
       case CONNECTIONS -> checkIdleConnections(now);
-      case MEMORY -> server.checkMemory(now);
+      case MEMORY -> server.checkMemory();
       case REPORTS -> reportPoller.tick(recordCache.isStoreUnavailable(), now);
       default -> throw new IllegalArgumentException("unknown step " + step);
     }
