Order records of the store by its era and by what their writers state

Cause: after the store had come back from an older copy, callers of a route that had been added got 404 for good, and a server that had announced its leaving got requests. The gateway took the offset of a record for its place in time and ignored records whose offset was not above the known one of their key; if the new offsets had passed the old ones, records below them were never read. The listing after a 410 was compared in the same way, as were offers between gateways.

Gateways send each other the era with each record, and a gateway that starts after the return gets from the others what the store has lost. A store that states no era is read as before, and messages are encoded as before.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RecordOffers.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/RecordOffers.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cactusseam.model.gateway.StorePosition;
 
 /**
  * Tracks long records of the store that other gateways offer and that this one may lack. All
@@ -42,9 +43,9 @@
    *
    * @param topic topic of the record
    * @param key key of the record
-   * @param offset offset in the topic
+   * @param position position in the topic
    */
-  public record Offered(String topic, String key, long offset) {}
+  public record Offered(String topic, String key, StorePosition position) {}
 
   /**
    * A request to fetch a record from a gateway.
@@ -70,20 +71,20 @@
   private record Key(String topic, String key) {}
 
   private static final class Offer {
-    private final long offset;
+    private final StorePosition position;
     private final Instant firstOfferedAt;
     private final LinkedHashSet<String> untried = new LinkedHashSet<>();
     private Instant nextFetch;
 
-    Offer(long offset, Instant now) {
-      this.offset = offset;
+    Offer(StorePosition position, Instant now) {
+      this.position = position;
       this.firstOfferedAt = now;
       this.nextFetch = now.plus(OWN_READ_DELAY);
     }
   }
 
   /**
-   * Adds the offer of a gateway. An offer with a higher offset replaces the older offers of the
+   * Adds the offer of a gateway. An offer with a later position replaces the older offers of the
    * key.
    *
    * @param offered record that is offered
@@ -91,11 +92,11 @@
   public void addOffer(String node, Offered offered, Instant now) {
     Key key = new Key(offered.topic(), offered.key());
     Offer known = offers.get(key);
-    if (known == null || known.offset < offered.offset()) {
-      known = new Offer(offered.offset(), now);
+    if (known == null || offered.position().isAfter(known.position)) {
+      known = new Offer(offered.position(), now);
       offers.put(key, known);
     }
-    if (known.offset == offered.offset()) {
+    if (known.position.equals(offered.position())) {
       known.untried.add(node);
     }
   }
@@ -125,7 +126,7 @@
   }
 
   private static Offered offered(Key key, Offer offer) {
-    return new Offered(key.topic(), key.key(), offer.offset);
+    return new Offered(key.topic(), key.key(), offer.position);
   }
 
   private static Optional<String> fetch(Offer offer, Instant now) {
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/StoreRecord.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/StoreRecord.java
@@ -7,7 +7,8 @@
  *
  * @param topic topic of the record
  * @param key key of the record
- * @param offset offset in the topic; a higher one is newer
+ * @param position position in the topic
  * @param value encoded value as stored; empty if the key was deleted
  */
-public record StoreRecord(String topic, String key, long offset, Optional<byte[]> value) {}
+public record StoreRecord(
+    String topic, String key, StorePosition position, Optional<byte[]> value) {}
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/RecordOffersTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/RecordOffersTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.cactusseam.logic.gateway.RecordOffers.Fetch;
 import org.cactusseam.logic.gateway.RecordOffers.Offered;
+import org.cactusseam.model.gateway.StorePosition;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -18,7 +19,7 @@
  */
 class RecordOffersTest {
 
-  private static final Offered CHANGE = new Offered("operator", "config", 7);
+  private static final Offered CHANGE = new Offered("operator", "config", new StorePosition(0, 7));
 
   private final RecordOffers offers = new RecordOffers();
   private final Set<Offered> known = new HashSet<>();
@@ -70,7 +71,7 @@
   @Test
   void a_newer_record_replaces_the_offers_of_the_older_one() {
     offered("vm-2", CHANGE, 0);
-    offered("vm-3", new Offered("operator", "config", 9), 50);
+    offered("vm-3", new Offered("operator", "config", new StorePosition(0, 9)), 50);
     offered("vm-4", CHANGE, 60);
 
     List<Fetch> fetched = new ArrayList<>(due(250));
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -5,6 +5,7 @@
 import org.cactusseam.logic.gateway.ServerPaces;
 import org.cactusseam.logic.rollout.RolloutReport;
 import org.cactusseam.logic.rollout.RolloutState;
+import org.cactusseam.model.gateway.StorePosition;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.cactusseam.model.quarantine.Suspicions;
 
@@ -50,9 +51,9 @@
    * @param node name of the sender
    * @param topic topic of the store
    * @param key key within the topic
-   * @param offset position in the topic
+   * @param position position in the topic
    */
-  record RecordOffer(String node, String topic, String key, long offset)
+  record RecordOffer(String node, String topic, String key, StorePosition position)
       implements GatewayMessage {}
 
   /**
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -11,6 +11,7 @@
 import org.cactusseam.logic.gateway.ServerLoads;
 import org.cactusseam.logic.gateway.ServerPaces;
 import org.cactusseam.model.gateway.ServerPace;
+import org.cactusseam.model.gateway.StorePosition;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -46,13 +47,15 @@
             packer.packInt(RECORDS_REQUEST).packString(request.node());
         case GatewayMessage.RecordsAccepted accepted ->
             packer.packInt(RECORDS_ACCEPTED).packString(accepted.node());
-        case GatewayMessage.RecordOffer offer ->
-            packer
-                .packInt(RECORD_OFFER)
-                .packString(offer.node())
-                .packString(offer.topic())
-                .packString(offer.key())
-                .packLong(offer.offset());
+        case GatewayMessage.RecordOffer offer -> {
+          packer
+              .packInt(RECORD_OFFER)
+              .packString(offer.node())
+              .packString(offer.topic())
+              .packString(offer.key())
+              .packLong(offer.position().offset());
+          writeEra(packer, offer.position());
+        }
         case GatewayMessage.RecordFetch fetch ->
             packer
                 .packInt(RECORD_FETCH)
@@ -116,12 +119,21 @@
         .packInt(RECORD_UPDATE)
         .packString(record.topic())
         .packString(record.key())
-        .packLong(record.offset())
+        .packLong(record.position().offset())
         .packBoolean(record.value().isPresent());
     if (record.value().isPresent()) {
       byte[] value = record.value().get();
       packer.packBinaryHeader(value.length).writePayload(value);
     }
+    writeEra(packer, record.position());
+  }
+
+  /** Writes the era last, because gateways of earlier versions ignore what follows the offset. */
+  private static void writeEra(MessageBufferPacker packer, StorePosition position)
+      throws IOException {
+    if (position.era() > 0) {
+      packer.packLong(position.era());
+    }
   }
 
   static Try<GatewayMessage> decode(byte[] value) {
@@ -144,7 +156,7 @@
               unpacker.unpackString(),
               unpacker.unpackString(),
               unpacker.unpackString(),
-              unpacker.unpackLong());
+              readPosition(unpacker.unpackLong(), unpacker));
       case RECORD_FETCH ->
           new GatewayMessage.RecordFetch(
               unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
@@ -197,12 +209,19 @@
     String key = unpacker.unpackString();
     long offset = unpacker.unpackLong();
     if (!unpacker.unpackBoolean()) {
-      return new StoreRecord(topic, key, offset, Optional.empty());
+      return new StoreRecord(topic, key, readPosition(offset, unpacker), Optional.empty());
     }
     int length = unpacker.unpackBinaryHeader();
     if (length > frameLength) {
       throw new IOException("record value of " + length + " bytes in a frame of " + frameLength);
     }
-    return new StoreRecord(topic, key, offset, Optional.of(unpacker.readPayload(length)));
+    byte[] value = unpacker.readPayload(length);
+    return new StoreRecord(topic, key, readPosition(offset, unpacker), Optional.of(value));
+  }
+
+  /** Reads the era, which is missing if the store does not state it. */
+  private static StorePosition readPosition(long offset, MessageUnpacker unpacker)
+      throws IOException {
+    return new StorePosition(unpacker.hasNext() ? unpacker.unpackLong() : 0, offset);
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -162,6 +162,9 @@
       greeting.appendBuffer(
           GatewayMessageCodec.encode(quarantineUpdate(gateway.quarantine().state())));
     }
+    replicator
+        .greeting()
+        .forEach(message -> greeting.appendBuffer(GatewayMessageCodec.encode(message)));
     return greeting;
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -262,6 +262,11 @@
     gateway.servers().storeReturned(gateway.clock().instant());
   }
 
+  @Override
+  public void onStoreRestored() {
+    onStoreRecovered();
+  }
+
   @Override
   public void onConvictionStored(Conviction conviction) {
     gateway.quarantine().mergeStored(conviction);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordCache.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordCache.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cactusseam.model.gateway.StorePosition;
 import org.cactusseam.model.gateway.StoreRecord;
 
 /**
@@ -28,8 +29,25 @@
   Optional<StoreRecord> latest(String topic, String key);
 
   /**
-   * Applies a record that another gateway has sent. Ignored if a record of the key with the same or
-   * a higher offset is known.
+   * Returns whether a record need not be fetched from another gateway.
+   *
+   * @param topic topic of the store
+   * @param key key within the topic
+   * @param position position of the record
+   * @return whether this record of the key or a later one has been read
+   */
+  boolean isKnown(String topic, String key, StorePosition position);
+
+  /**
+   * Returns the records that hold although the store has lost them. A gateway that starts after the
+   * return of the store cannot read them there.
+   *
+   * @return records in no particular order
+   */
+  List<StoreRecord> held();
+
+  /**
+   * Applies a record that another gateway has sent. Ignored if a newer one of the key is known.
    *
    * @param record record read by another gateway
    */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordReplicator.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RecordReplicator.java
@@ -100,10 +100,7 @@
   }
 
   private boolean isKnown(RecordOffers.Offered offered) {
-    return recordCache
-        .latest(offered.topic(), offered.key())
-        .filter(known -> known.offset() >= offered.offset())
-        .isPresent();
+    return recordCache.isKnown(offered.topic(), offered.key(), offered.position());
   }
 
   private List<String> ownRegionFirst() {
@@ -121,9 +118,7 @@
    */
   private void replicate(StoreRecord record, boolean urgent) {
     GatewayMessage.RecordUpdate update = new GatewayMessage.RecordUpdate(record);
-    boolean isLarge =
-        record.value().filter(value -> value.length > MAX_UNOFFERED_VALUE_BYTES).isPresent();
-    if (urgent && !isLarge) {
+    if (urgent && !isLarge(record)) {
       peers.send(peers.connected(), update);
       return;
     }
@@ -133,11 +128,29 @@
     }
   }
 
+  /**
+   * Returns messages for a gateway whose connection has just been opened. If it has just started,
+   * the store does not show it the records that the store has lost.
+   */
+  List<GatewayMessage> greeting() {
+    return recordCache.held().stream()
+        .map(record -> isLarge(record) ? toOffer(record) : new GatewayMessage.RecordUpdate(record))
+        .toList();
+  }
+
+  private static boolean isLarge(StoreRecord record) {
+    return record.value().filter(value -> value.length > MAX_UNOFFERED_VALUE_BYTES).isPresent();
+  }
+
+  private GatewayMessage toOffer(StoreRecord record) {
+    return new GatewayMessage.RecordOffer(self, record.topic(), record.key(), record.position());
+  }
+
   private void offer(StoreRecord record) {
-    GatewayMessage.RecordOffer offer =
-        new GatewayMessage.RecordOffer(self, record.topic(), record.key(), record.offset());
-    peers.send(offerReceivers(record.offset(), true), offer);
-    peers.send(offerReceivers(record.offset(), false), offer);
+    GatewayMessage offer = toOffer(record);
+    long offset = record.position().offset();
+    peers.send(offerReceivers(offset, true), offer);
+    peers.send(offerReceivers(offset, false), offer);
   }
 
   /** Chooses a different set of gateways for each record, so that offers are spread evenly. */
@@ -178,7 +191,7 @@
   void onOffer(GatewayMessage.RecordOffer offer) {
     offers.addOffer(
         offer.node(),
-        new RecordOffers.Offered(offer.topic(), offer.key(), offer.offset()),
+        new RecordOffers.Offered(offer.topic(), offer.key(), offer.position()),
         clock.instant());
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StoreUpdateListener.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StoreUpdateListener.java
@@ -44,6 +44,12 @@
   /** Called when the store responds again after an outage. */
   void onStoreRecovered();
 
+  /**
+   * Called when the store has come back from an older copy, before its records are read again. What
+   * this gateway has written there may be gone.
+   */
+  default void onStoreRestored() {}
+
   /**
    * Called when the entry of a gateway was read.
    *
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -21,6 +21,7 @@
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.gateway.ServerPace;
+import org.cactusseam.model.gateway.StorePosition;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.cactusseam.model.quarantine.Conviction;
 import org.cactusseam.model.quarantine.CrashId;
@@ -57,9 +58,10 @@
             "vm-1", Map.of("e-1", new ServerLoads.ServerLoad(3, 9_000, 2_200))),
         new GatewayMessage.RecordsRequest("vm-1"),
         new GatewayMessage.RecordsAccepted("vm-2"),
-        new GatewayMessage.RecordOffer("vm-1", "topic", "key", 7),
+        new GatewayMessage.RecordOffer("vm-1", "topic", "key", new StorePosition(0, 7)),
         new GatewayMessage.RecordFetch("vm-1", "topic", "key"),
-        new GatewayMessage.RecordUpdate(new StoreRecord("topic", "key", 7, Optional.empty())),
+        new GatewayMessage.RecordUpdate(
+            new StoreRecord("topic", "key", new StorePosition(0, 7), Optional.empty())),
         new GatewayMessage.ServerDeparture("e-1", 1_774_656_687_601L),
         new GatewayMessage.QuarantineUpdate("vm-1", SUSPICIONS),
         new GatewayMessage.RolloutEvidence(
@@ -105,6 +107,20 @@
     }
   }
 
+  static Stream<GatewayMessage> messagesOfLaterEras() {
+    return Stream.of(
+        new GatewayMessage.RecordOffer("vm-1", "topic", "key", new StorePosition(3, 7)),
+        new GatewayMessage.RecordUpdate(
+            new StoreRecord("topic", "key", new StorePosition(3, 7), Optional.empty())));
+  }
+
+  /** Guards against a record of an older era that replaces a newer one with a lower offset. */
+  @ParameterizedTest
+  @MethodSource("messagesOfLaterEras")
+  void the_era_of_a_record_is_read_as_it_was_written(GatewayMessage message) {
+    assertThat(GatewayMessageCodec.decode(value(message)).get(), is(message));
+  }
+
   private static final GatewayMessage.Loads WITH_PACES =
       new GatewayMessage.Loads(
           "vm-1",
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/RecordReplicatorTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/RecordReplicatorTest.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.cactusseam.logic.replay.PausedClock;
+import org.cactusseam.model.gateway.StorePosition;
 import org.cactusseam.model.gateway.StoreRecord;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -65,7 +66,7 @@
 
     boolean knows(StoreRecord record) {
       return Optional.ofNullable(latest.get(record.key()))
-          .filter(known -> known.offset() >= record.offset())
+          .filter(known -> known.position().compareTo(record.position()) >= 0)
           .isPresent();
     }
 
@@ -90,6 +91,16 @@
       return Optional.ofNullable(latest.get(key));
     }
 
+    @Override
+    public boolean isKnown(String topic, String key, StorePosition position) {
+      return knows(new StoreRecord(topic, key, position, Optional.empty()));
+    }
+
+    @Override
+    public List<StoreRecord> held() {
+      return List.of();
+    }
+
     @Override
     public void apply(StoreRecord record) {
       if (!knows(record)) {
@@ -141,7 +152,8 @@
   }
 
   private static StoreRecord record(String key, long offset, int bytes) {
-    return new StoreRecord("topic", key, offset, Optional.of(new byte[bytes]));
+    return new StoreRecord(
+        "topic", key, new StorePosition(0, offset), Optional.of(new byte[bytes]));
   }
 
   private void deliver() {
