Write convictions again when the store has lost them

Cause: a gateway wrote a conviction until a write was acknowledged. When the store came back from a copy without it, a gateway that started after that, or that the others did not reach, sent requests on that are known to crash servers.

Change: after a return every gateway schedules its convictions anew; those that the listing contains are dropped from the schedule as before.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -265,6 +265,7 @@
   @Override
   public void onStoreRestored() {
     onStoreRecovered();
+    gateway.quarantine().publishAgain();
   }
 
   @Override
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestQuarantine.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestQuarantine.java
@@ -181,6 +181,12 @@
     publications.recordStored(stored);
   }
 
+  /** Writes the convictions again that the store does not list, because it has lost records. */
+  void publishAgain() {
+    Instant now = clock.instant();
+    convictions.forEach(conviction -> publications.add(conviction, gatewayCount, now));
+  }
+
   private void applyConvictions() {
     Set<Conviction> current = Set.copyOf(table.suspicions().convictions());
     if (current.equals(convictions)) {
