Believe the answers of a server that say that it leaves

Cause: no code read the header Server-Leaving. A server whose answers carried it got requests for as long as its entry in the store said that it was ready.

Change: the statement counts in every answer that is accepted as the answer of the server to the attempt that was sent: a success with a receipt, a failure, a refusal. It does not count in an answer to another attempt, of another server at the address, with status 421, or in a success without a receipt. The gateway tells the others, at once and on each new connection.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LeavingServers.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LeavingServers.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.cactusseam.model.gateway.ServerInstance;
@@ -15,8 +16,9 @@
 public final class LeavingServers {
 
   /**
-   * Time for which a mark is kept. A server is gone some seconds after it announced its shutdown,
-   * and its identifier is not reused before.
+   * Time for which a mark is kept, unless the server has stated it in an answer and is still
+   * listed. A server is gone some seconds after it announced its shutdown, and its identifier is
+   * not reused before.
    */
   private static final Duration RETENTION = Duration.ofSeconds(30);
 
@@ -36,6 +38,11 @@
     ENTRY_GONE,
     /** A report of the server says so, received by this VM or forwarded by another one. */
     REPORTED,
+    /**
+     * An answer of the server to a request says so, received by this VM or another one. The entry
+     * of the same process may say that it is ready for as long as it serves.
+     */
+    STATED,
     /**
      * A roll-out moves its runs to another version, while its entry still says that it is ready.
      */
@@ -46,7 +53,7 @@
 
   /**
    * Marks a server as leaving. The mark of a roll-out is replaced by one from any other source,
-   * because the server then ends by itself.
+   * because the server then ends by itself, and any mark by the statement of the server.
    *
    * @param source how this became known
    * @return whether the server was not yet marked
@@ -54,26 +61,41 @@
   public boolean markLeaving(ServerInstance server, Source source, Instant now) {
     tick(now);
     boolean isNew = !marks.containsKey(server.id());
-    if (isNew || (isOnlyReplaced(server.id()) && source != Source.REPLACED)) {
+    if (isNew
+        || source == Source.STATED
+        || (isOnlyReplaced(server.id()) && source != Source.REPLACED)) {
       marks.put(server.id(), new Mark(server, source, now));
     }
     return isNew;
   }
 
-  /** Drops the marks that are older than {@link #RETENTION}. */
-  public void tick(Instant now) {
+  /**
+   * Renews the marks of listed servers that have stated that they leave, and drops the marks that
+   * are older than {@link #RETENTION}.
+   */
+  public void tick(ServerTable listed, Instant now) {
+    marks.replaceAll(
+        (id, mark) ->
+            mark.source() == Source.STATED && listed.isSameProcess(mark.server())
+                ? new Mark(mark.server(), mark.source(), now)
+                : mark);
+    tick(now);
+  }
+
+  private void tick(Instant now) {
     marks.values().removeIf(mark -> mark.at().plus(RETENTION).isBefore(now));
   }
 
   /**
    * Removes the mark of a server whose entry says that it accepts requests. A mark from a report is
-   * kept while the entry may be older than the report, and that of a roll-out until {@link
-   * #clearReplaced}.
+   * kept while the entry may be older than the report, that of a roll-out until {@link
+   * #clearReplaced}, and that of a statement until {@link #clear}.
    */
   public void clearIfOlder(String serverId, Instant now) {
     Mark mark = marks.get(serverId);
     if (mark != null
         && mark.source() != Source.REPLACED
+        && mark.source() != Source.STATED
         && (mark.source() != Source.REPORTED || mark.at().plus(MAX_ENTRY_LAG).isBefore(now))) {
       marks.remove(serverId);
     }
@@ -92,6 +114,14 @@
     marks.remove(serverId);
   }
 
+  /** Returns the servers that have stated in an answer that they leave. */
+  public List<ServerInstance> stated() {
+    return marks.values().stream()
+        .filter(mark -> mark.source() == Source.STATED)
+        .map(Mark::server)
+        .toList();
+  }
+
   /**
    * Returns whether a server is leaving.
    *
--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/ServerTable.java
@@ -161,6 +161,11 @@
     return entry != null && entry.instance.isSameProcess(instance) && isUsable(entry);
   }
 
+  /** Returns whether a server is listed and its process is the one that is described. */
+  boolean isSameProcess(ServerInstance instance) {
+    return find(instance.id()).filter(instance::isSameProcess).isPresent();
+  }
+
   /**
    * Returns whether a server was listed a short time ago or reports that it is cold. Such servers
    * are slow for some seconds.
--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/ServerReply.java
@@ -12,6 +12,7 @@
  * @param attempt which attempt the response names
  * @param ofOtherServer whether the response names a server other than the expected one
  * @param statedPace pace that the response states; empty if it states none that is valid
+ * @param statesLeaving whether the response states that its server leaves
  */
 public record ServerReply(
     int status,
@@ -19,7 +20,8 @@
     boolean signed,
     NamedAttempt attempt,
     boolean ofOtherServer,
-    Optional<ServerPace> statedPace) {
+    Optional<ServerPace> statedPace,
+    boolean statesLeaving) {
 
   /** Status of a server that is not the one to which the request is addressed. */
   public static final int STATUS_MISDIRECTED = 421;
@@ -87,6 +89,24 @@
     return ofOtherServer || !answersAttempt() ? Optional.empty() : statedPace;
   }
 
+  /**
+   * Returns whether the server to which the request was sent states that it leaves, and the
+   * statement can be believed. It must stand in an answer to the attempt that was sent, so that
+   * neither a late answer nor a server that has taken over the address takes another process out of
+   * use, and a success must bear its receipt.
+   *
+   * @return whether the server wants no further requests
+   */
+  public boolean serverLeaves() {
+    return statesLeaving
+        && namesAttempt()
+        && !ofOtherServer
+        && status != STATUS_MISDIRECTED
+        && !isInterim()
+        && !isIgnoredStatement()
+        && (signed || !isSuccess());
+  }
+
   /**
    * Returns whether the response reports success.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.cactusseam.edge.backend.BackendConnections;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.EngineReports;
@@ -69,6 +70,7 @@
   private final Instant startedAt;
   private final ProcessPauses pauses;
   private final SharerCount sharerCount;
+  private Consumer<ServerInstance> departureListener = server -> {};
   private int vmCount = 1;
   private int pendingWrites;
   private Optional<Instant> drainingSince = Optional.empty();
@@ -171,7 +173,8 @@
   }
 
   /**
-   * Decodes the head of a server's response, and records the pace that it states.
+   * Decodes the head of a server's response, and records its statements about the server: its pace,
+   * and whether it leaves.
    *
    * @param attemptId identifier of the attempt that was sent
    * @param server server to which it was sent
@@ -185,9 +188,35 @@
         .paceOfServer()
         .filter(pace -> isMeasurable(server, sentAt))
         .ifPresent(pace -> paces.recordStatement(server.id(), pace, clock.instant()));
+    if (reply.serverLeaves() && recordStatedDeparture(server)) {
+      departureListener.accept(server);
+    }
     return reply;
   }
 
+  /**
+   * Records that a server has stated in an answer, to this gateway or another one, that it leaves.
+   * A server that does not state its start cannot be told from its successor; its statement counts
+   * no more than a report.
+   *
+   * @return whether this was not known before
+   */
+  boolean recordStatedDeparture(ServerInstance server) {
+    boolean isReplaced =
+        servers.find(server.id()).filter(listed -> !listed.isSameProcess(server)).isPresent();
+    return !isReplaced
+        && recordDeparture(
+            server,
+            server.startedAtMillis() > 0
+                ? LeavingServers.Source.STATED
+                : LeavingServers.Source.REPORTED);
+  }
+
+  /** Sets the receiver of servers that have stated to this gateway that they leave. */
+  void setDepartureListener(Consumer<ServerInstance> listener) {
+    departureListener = listener;
+  }
+
   /** Returns whether the response to an attempt tells how long work takes at a server now. */
   private boolean isMeasurable(ServerInstance server, Instant sentAt) {
     return !pauses.isAffected(sentAt, clock.instant())
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessage.java
@@ -73,12 +73,14 @@
   record RecordUpdate(StoreRecord record) implements GatewayMessage {}
 
   /**
-   * A server has reported that it leaves.
+   * A server leaves, as it has said itself.
    *
    * @param serverId identifier of the server
    * @param startedAtMillis start of its process, in milliseconds since the Unix epoch
+   * @param isStated whether an answer to a request has stated it, not only a report
    */
-  record ServerDeparture(String serverId, long startedAtMillis) implements GatewayMessage {}
+  record ServerDeparture(String serverId, long startedAtMillis, boolean isStated)
+      implements GatewayMessage {}
 
   /**
    * Crashes of servers and convictions that the sender knows; all of them on a new connection,
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayMessageCodec.java
@@ -77,11 +77,16 @@
                 .packString(hold.reason());
         case GatewayMessage.RolloutUpdate update ->
             RolloutReportCodec.write(packer.packInt(ROLLOUT_UPDATE), update.state());
-        case GatewayMessage.ServerDeparture departure ->
-            packer
-                .packInt(SERVER_DEPARTURE)
-                .packString(departure.serverId())
-                .packLong(departure.startedAtMillis());
+        case GatewayMessage.ServerDeparture departure -> {
+          packer
+              .packInt(SERVER_DEPARTURE)
+              .packString(departure.serverId())
+              .packLong(departure.startedAtMillis());
+          // Gateways of earlier versions take it for a report.
+          if (departure.isStated()) {
+            packer.packBoolean(true);
+          }
+        }
       }
       byte[] value = packer.toByteArray();
       return Buffer.buffer(PeerCodec.LENGTH_BYTES + value.length)
@@ -166,7 +171,10 @@
           new GatewayMessage.QuarantineUpdate(
               unpacker.unpackString(), SuspicionsCodec.read(unpacker));
       case SERVER_DEPARTURE ->
-          new GatewayMessage.ServerDeparture(unpacker.unpackString(), unpacker.unpackLong());
+          new GatewayMessage.ServerDeparture(
+              unpacker.unpackString(),
+              unpacker.unpackLong(),
+              unpacker.hasNext() && unpacker.unpackBoolean());
       case ROLLOUT_EVIDENCE ->
           new GatewayMessage.RolloutEvidence(RolloutReportCodec.read(unpacker));
       case ROLLOUT_HOLD ->
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayPeers.java
@@ -82,6 +82,7 @@
     this.replicator =
         new RecordReplicator(
             gateway.clock(), gateway.settings().node(), recordCache, new ConnectedPeers());
+    gateway.setDepartureListener(server -> broadcast(statedDeparture(server)));
     gateway.quarantine().setPeerBroadcast(changes -> broadcast(quarantineUpdate(changes)));
     // Sent after the current callback, because a run that continues on another server changes the
     // load of two servers at once.
@@ -162,6 +163,11 @@
       greeting.appendBuffer(
           GatewayMessageCodec.encode(quarantineUpdate(gateway.quarantine().state())));
     }
+    gateway
+        .leavingServers()
+        .stated()
+        .forEach(
+            server -> greeting.appendBuffer(GatewayMessageCodec.encode(statedDeparture(server))));
     replicator
         .greeting()
         .forEach(message -> greeting.appendBuffer(GatewayMessageCodec.encode(message)));
@@ -177,7 +183,11 @@
    * may show it later or never.
    */
   void broadcastDeparture(ServerInstance server) {
-    broadcast(new GatewayMessage.ServerDeparture(server.id(), server.startedAtMillis()));
+    broadcast(new GatewayMessage.ServerDeparture(server.id(), server.startedAtMillis(), false));
+  }
+
+  private static GatewayMessage statedDeparture(ServerInstance server) {
+    return new GatewayMessage.ServerDeparture(server.id(), server.startedAtMillis(), true);
   }
 
   /** Returns the other gateways, as roll-outs need them. */
@@ -280,7 +290,14 @@
         .servers()
         .find(departure.serverId())
         .filter(server -> server.startedAtMillis() == departure.startedAtMillis())
-        .ifPresent(server -> gateway.recordDeparture(server, LeavingServers.Source.REPORTED));
+        .ifPresent(
+            server -> {
+              if (departure.isStated()) {
+                gateway.recordStatedDeparture(server);
+              } else {
+                gateway.recordDeparture(server, LeavingServers.Source.REPORTED);
+              }
+            });
   }
 
   /** The gateways to which this one has an open connection. */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -159,7 +159,7 @@
         .servers()
         .tick(now)
         .forEach(server -> gateway.recordDeparture(server, LeavingServers.Source.ENTRY_GONE));
-    gateway.leavingServers().tick(now);
+    gateway.leavingServers().tick(gateway.servers(), now);
   }
 
   private void checkIdleConnections(Instant now) {
--- a/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
+++ b/cactusseam-daemon/src/test/java/org/cactusseam/edge/gateway/GatewayMessageCodecTest.java
@@ -62,7 +62,7 @@
         new GatewayMessage.RecordFetch("vm-1", "topic", "key"),
         new GatewayMessage.RecordUpdate(
             new StoreRecord("topic", "key", new StorePosition(0, 7), Optional.empty())),
-        new GatewayMessage.ServerDeparture("e-1", 1_774_656_687_601L),
+        new GatewayMessage.ServerDeparture("e-1", 1_774_656_687_601L, false),
         new GatewayMessage.QuarantineUpdate("vm-1", SUSPICIONS),
         new GatewayMessage.RolloutEvidence(
             new RolloutReport(
@@ -107,17 +107,21 @@
     }
   }
 
-  static Stream<GatewayMessage> messagesOfLaterEras() {
+  static Stream<GatewayMessage> messagesWithLaterFields() {
     return Stream.of(
+        new GatewayMessage.ServerDeparture("e-1", 1_774_656_687_601L, true),
         new GatewayMessage.RecordOffer("vm-1", "topic", "key", new StorePosition(3, 7)),
         new GatewayMessage.RecordUpdate(
             new StoreRecord("topic", "key", new StorePosition(3, 7), Optional.empty())));
   }
 
-  /** Guards against a record of an older era that replaces a newer one with a lower offset. */
+  /**
+   * Guards against a record of an older era that replaces a newer one with a lower offset, and
+   * against a statement that a ready entry outweighs.
+   */
   @ParameterizedTest
-  @MethodSource("messagesOfLaterEras")
-  void the_era_of_a_record_is_read_as_it_was_written(GatewayMessage message) {
+  @MethodSource("messagesWithLaterFields")
+  void a_field_that_earlier_versions_lack_is_read_as_it_was_written(GatewayMessage message) {
     assertThat(GatewayMessageCodec.decode(value(message)).get(), is(message));
   }
 
