Continue a stream only at the version that began it

Cause: where servers of two versions served, callers got streams joined from both: a run that went on elsewhere, a copy of a run, and a caller who took the stream up were sent to any server of the service. Nothing was known of a stream at another gateway, or at any after all had been killed.

Change: a stream is bound to the version that delivered its first event. If the version is unknown or has no server, the caller gets 503 at once. Where operators order roll-outs, streams move as before.

--- a/cactusseam-core/src/main/java/org/cactusseam/model/gateway/CallerRequest.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/CallerRequest.java
@@ -15,6 +15,8 @@
  * @param demand prompt and output lengths of a model request; empty for plain requests
  * @param lastEventId identifier of the last event that the caller has received of the stream that
  *     it resumes; empty for new requests
+ * @param resumedAttempt identifier of the attempt that brought the first event of that stream;
+ *     empty if the caller does not name it
  * @param sharedPromptParts identifiers of the parts of a model request's prompt that other requests
  *     may have as well, in order; empty for plain requests
  */
@@ -26,6 +28,7 @@
     Optional<String> key,
     Optional<GenerationDemand> demand,
     Optional<String> lastEventId,
+    Optional<String> resumedAttempt,
     List<String> sharedPromptParts) {
 
   /** Copies the list. */
--- /dev/null
+++ b/cactusseam-core/src/main/java/org/cactusseam/model/gateway/StreamOrigin.java
@@ -0,0 +1,9 @@
+package org.cactusseam.model.gateway;
+
+/**
+ * Where a stream began, for callers who take it up at any gateway.
+ *
+ * @param attemptId identifier of the caller's attempt that begins the stream
+ * @param version version of the software of the server to which it was sent
+ */
+public record StreamOrigin(String attemptId, String version) {}
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/GatewayFixtures.java
@@ -103,6 +103,7 @@
         key,
         Optional.empty(),
         Optional.empty(),
+        Optional.empty(),
         List.of());
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -31,6 +31,7 @@
 import org.cactusseam.model.gateway.ServerCall;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.gateway.ServerReply;
+import org.cactusseam.model.gateway.VersionFilter;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -126,6 +127,11 @@
         gateway
             .vertx()
             .setTimer(Math.max(1, remainingTime().toMillis()), timer -> handleDeadline());
+    begin();
+  }
+
+  /** Begins to serve the request. */
+  void begin() {
     sendOrEnqueue();
   }
 
@@ -235,7 +241,12 @@
         excluded,
         head.attemptId().hashCode(),
         route.name(),
-        gateway.rollouts().usualVersions(service.name()));
+        versions());
+  }
+
+  /** Returns the versions of the servers that may run the request. */
+  VersionFilter versions() {
+    return gateway.rollouts().usualVersions(service.name());
   }
 
   private Set<String> allowedRegions() {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Gateway.java
@@ -62,6 +62,7 @@
   private final EngineReports reports = new EngineReports();
   private final ServerSelector serverSelector;
   private final Rollouts rollouts;
+  private final StreamOrigins streamOrigins;
   private final GatewayMetrics metrics = new GatewayMetrics();
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, RequestQueue<Exchange>> queues = new HashMap<>();
@@ -125,6 +126,7 @@
                 servers,
                 serverSelector));
     this.rollouts = new Rollouts(this, pauses);
+    this.streamOrigins = new StreamOrigins(this);
     setVmCount(1);
   }
 
@@ -315,6 +317,10 @@
     return rollouts;
   }
 
+  StreamOrigins streamOrigins() {
+    return streamOrigins;
+  }
+
   GatewayMetrics metrics() {
     return metrics;
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/GatewayProcess.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import org.cactusseam.edge.IsolatedAction;
 import org.cactusseam.edge.logging.StructuredLog;
@@ -86,6 +87,7 @@
    * @param recordCache store records that gateways replicate
    * @param convictionStore keeps convictions in the store
    * @param rolloutStore keeps the stages of roll-outs in the store
+   * @param originStore keeps in the store which version began a stream
    * @param exit ends the process
    */
   public GatewayProcess(
@@ -93,6 +95,7 @@
       RecordCache recordCache,
       ConvictionStore convictionStore,
       RolloutStore rolloutStore,
+      StreamOriginStore originStore,
       Runnable exit) {
     this.gateway = gateway;
     this.server = new GatewayServer(gateway);
@@ -107,6 +110,7 @@
             rolloutStore,
             gateway.clock().instant());
     this.exit = exit;
+    gateway.streamOrigins().setStore(originStore);
   }
 
   /**
@@ -160,6 +164,7 @@
         .tick(now)
         .forEach(server -> gateway.recordDeparture(server, LeavingServers.Source.ENTRY_GONE));
     gateway.leavingServers().tick(gateway.servers(), now);
+    gateway.streamOrigins().tick(now);
   }
 
   private void checkIdleConnections(Instant now) {
@@ -231,6 +236,7 @@
   @Override
   public boolean onServerListed(ServerInstance instance) {
     boolean isNew = gateway.servers().put(instance, gateway.clock().instant());
+    gateway.streamOrigins().onServerListed(instance);
     if (isNew) {
       gateway.resetServer(instance);
       LOG.info(
@@ -266,6 +272,7 @@
   public void onStoreRestored() {
     onStoreRecovered();
     gateway.quarantine().publishAgain();
+    gateway.streamOrigins().onStoreRestored();
   }
 
   @Override
@@ -292,6 +299,16 @@
     gateway.rollouts().onState(state);
   }
 
+  @Override
+  public void onServiceVersions(String service, List<String> versions) {
+    gateway.streamOrigins().onVersionsRead(service, versions);
+  }
+
+  @Override
+  public void onGatewaysListed() {
+    gateway.streamOrigins().onVersionsComplete();
+  }
+
   @Override
   public void onGatewayListed(String node, String host, int port, String failureDomain) {
     peers.connect(node, host, port, failureDomain);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/KvCopier.java
@@ -66,7 +66,7 @@
                     allExcluded,
                     requirements.spread(),
                     requirements.route(),
-                    gateway.rollouts().copyTargets(source.service())),
+                    gateway.rollouts().copyTargets(source)),
                 source);
     if (target.isEmpty()) {
       logMissingTarget(gateway.clock().instant());
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Rollouts.java
@@ -213,8 +213,12 @@
         .isPresent();
   }
 
-  /** Returns the versions of the servers to which runs may be copied. */
-  VersionFilter copyTargets(String service) {
+  /** Returns the versions of the servers to which the runs of a server may be copied. */
+  VersionFilter copyTargets(ServerInstance source) {
+    if (table.isEmpty()) {
+      return VersionFilter.only(Set.of(source.version()));
+    }
+    String service = source.service();
     return find(service)
         .filter(ServiceRollout::isPreparing)
         .flatMap(ServiceRollout::state)
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StoreUpdateListener.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StoreUpdateListener.java
@@ -1,5 +1,6 @@
 package org.cactusseam.edge.gateway;
 
+import java.util.List;
 import org.cactusseam.logic.rollout.RolloutState;
 import org.cactusseam.model.gateway.GatewayConfiguration;
 import org.cactusseam.model.gateway.RolloutOrder;
@@ -67,6 +68,17 @@
    */
   void onConvictionStored(Conviction conviction);
 
+  /**
+   * Called when the versions of a service were read that may have begun a stream.
+   *
+   * @param service name of the service
+   * @param versions versions, the oldest first
+   */
+  default void onServiceVersions(String service, List<String> versions) {}
+
+  /** Called when the latest record of every gateway and service has been read. */
+  default void onGatewaysListed() {}
+
   /**
    * Called when an order to move a service to another version was read.
    *
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -2,6 +2,7 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -9,12 +10,14 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.cactusseam.logic.gateway.KvCopies;
 import org.cactusseam.logic.gateway.RouteDecision;
 import org.cactusseam.model.gateway.CallerRequest;
 import org.cactusseam.model.gateway.GatewayService;
 import org.cactusseam.model.gateway.KvCopyReference;
 import org.cactusseam.model.gateway.ServerInstance;
+import org.cactusseam.model.gateway.VersionFilter;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -40,6 +43,9 @@
   private int continuations;
   private Instant nextMoveAt = Instant.MIN;
 
+  /** Version of the server that began the stream; empty before the first event. */
+  private Optional<String> version = Optional.empty();
+
   StreamExchange(
       Gateway gateway,
       HttpServerRequest incoming,
@@ -62,6 +68,70 @@
     }
   }
 
+  /**
+   * Returns the version that began the stream, because what another one writes does not continue
+   * it. Operators who order roll-outs have streams moved between versions.
+   */
+  @Override
+  VersionFilter versions() {
+    return version
+        .filter(known -> gateway.rollouts().table().isEmpty())
+        .map(known -> VersionFilter.only(Set.of(known)))
+        .orElseGet(super::versions);
+  }
+
+  /**
+   * Finds out which version began a stream that is taken up. If no server of it is left, or the
+   * version cannot be known, waiting would not help the caller.
+   */
+  @Override
+  void begin() {
+    if (head.lastEventId().isEmpty()
+        || head.resumedAttempt().isEmpty()
+        || !gateway.rollouts().table().isEmpty()) {
+      sendOrEnqueue();
+      return;
+    }
+    String firstAttempt = head.resumedAttempt().get();
+    gateway
+        .streamOrigins()
+        .find(firstAttempt, service.name())
+        .onSuccess(found -> takeUp(firstAttempt, found));
+  }
+
+  private void takeUp(String firstAttempt, Optional<String> found) {
+    if (isFinished()) {
+      return;
+    }
+    version = found;
+    log.info(
+        "taken_up",
+        field("first_attempt", firstAttempt),
+        field("version", found.orElse("unknown")));
+    if (found.isEmpty()) {
+      refuse("it is not known which version began the stream");
+    } else if (!gateway.serverSelector().isServable(requirements())) {
+      refuse("no server of the version that began the stream");
+    } else {
+      sendOrEnqueue();
+    }
+  }
+
+  /**
+   * Records where the stream begins, if a caller can take it up.
+   *
+   * @return completes when the first event may reach the caller
+   */
+  private Future<Void> recordOrigin(ServerInstance server) {
+    return route.repetition().isRepeatable() && version.isEmpty()
+        ? gateway.streamOrigins().recordSent(head.attemptId(), server)
+        : Future.succeededFuture();
+  }
+
+  private boolean mayContinueOn(ServerInstance server) {
+    return gateway.rollouts().mayContinueOn(server) && versions().accepts(server);
+  }
+
   @Override
   void send(ServerInstance server) {
     start(server, Optional.empty());
@@ -69,7 +139,7 @@
 
   private void start(ServerInstance server, Optional<KvCopyReference> continuation) {
     recordSend(server);
-    current = new StreamRun(this, server, continuation);
+    current = new StreamRun(this, server, continuation, recordOrigin(server));
     current.start();
   }
 
@@ -101,6 +171,9 @@
       return;
     }
     writeHead(run);
+    if (version.isEmpty()) {
+      version = Optional.of(run.server().version());
+    }
     if (event.id().isPresent()) {
       lastDeliveredId = event.id();
     }
@@ -191,9 +264,8 @@
 
   private void continueElsewhere(StreamRun run, String reason) {
     // The budget is asked first: a copy that is taken off the list can be used only now.
-    if (kvCopies.hasUsable(gateway.rollouts()::mayContinueOn)
-        && tryRetry("retry", run.server(), reason)) {
-      continueFrom(kvCopies.poll(gateway.rollouts()::mayContinueOn).orElseThrow());
+    if (kvCopies.hasUsable(this::mayContinueOn) && tryRetry("retry", run.server(), reason)) {
+      continueFrom(kvCopies.poll(this::mayContinueOn).orElseThrow());
     } else if (canRunAgain(run) && tryRetry("resumed", run.server(), reason)) {
       sendOrEnqueue();
     } else {
@@ -302,8 +374,8 @@
     current = null;
     excluded.add(run.server().id());
     run.handOver();
-    if (kvCopies.hasUsable(gateway.rollouts()::mayContinueOn)) {
-      continueFrom(kvCopies.poll(gateway.rollouts()::mayContinueOn).orElseThrow());
+    if (kvCopies.hasUsable(this::mayContinueOn)) {
+      continueFrom(kvCopies.poll(this::mayContinueOn).orElseThrow());
     } else {
       sendOrEnqueue();
     }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -2,6 +2,7 @@
 
 import static org.cactusseam.edge.logging.StructuredLog.field;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -31,6 +32,7 @@
   private final Gateway gateway;
   private final ServerInstance server;
   private final Optional<KvCopyReference> continuation;
+  private final Future<Void> deliverable;
   private final EventSplitter splitter;
   private final KvCopier copier;
   private @Nullable HttpClientRequest outgoing;
@@ -42,8 +44,20 @@
   private int pendingPrefillTokens;
   private final StreamOutcome outcome;
 
+  /**
+   * Creates a run that has not been sent.
+   *
+   * @param exchange request of the caller
+   * @param server server that gets it
+   * @param continuation copy from which it continues; empty for a new run
+   * @param deliverable completes when events may reach the caller
+   */
   StreamRun(
-      StreamExchange exchange, ServerInstance server, Optional<KvCopyReference> continuation) {
+      StreamExchange exchange,
+      ServerInstance server,
+      Optional<KvCopyReference> continuation,
+      Future<Void> deliverable) {
+    this.deliverable = deliverable;
     this.exchange = exchange;
     this.gateway = exchange.gateway;
     this.server = server;
@@ -167,6 +181,10 @@
       received.handler(this::onBytes);
       received.exceptionHandler(cause -> onBroken(String.valueOf(cause.getMessage())));
       received.endHandler(ended -> onEnd());
+      if (!deliverable.isComplete()) {
+        received.pause();
+        deliverable.onComplete(ignored -> received.resume());
+      }
     }
   }
 
