Ignore records of an earlier era after the hold as well

Cause: found by reading. When the hold had ended and the key was still known from the earlier era, a record of that era from a gateway that lagged behind was taken, although the store had been read in a later era.

Change: after the hold, a record must be of the latest era in which its key was read.

The row of the earlier era was not run on the code before.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LatestRecords.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LatestRecords.java
@@ -112,7 +112,8 @@
     boolean isSameEra =
         recordEra == known.record().position().era() && recordEra == known.seen().era();
     if (isSameEra || !isHeld(now)) {
-      return record.position().isAfter(known.record().position());
+      return recordEra >= known.seen().era()
+          && record.position().isAfter(known.record().position());
     }
     if (hasSameValue(record, known.record())) {
       return false;
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LatestRecordsTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/LatestRecordsTest.java
@@ -104,14 +104,15 @@
   }
 
   /** Otherwise a version that the operator gives up after the return would be in force for good. */
-  @Test
-  void after_the_hold_the_store_is_right() {
+  @ParameterizedTest
+  @CsvSource({"2/4/b:0:4, b:0:4", "2/5/c:0:5, c:0:5", "1/31/c:0:31, a:0:30"})
+  void after_the_hold_the_store_is_right(String later, String kept) {
     records.put(record("1/30/a:0:30"), START);
     records.put(record("2/4/b:0:4"), START);
 
-    records.put(record("2/4/b:0:4"), AFTER_HOLD);
+    records.put(record(later), AFTER_HOLD);
 
-    assertThat(value(), is("b:0:4"));
+    assertThat(value(), is(kept));
   }
 
   @ParameterizedTest
