Fetch records that the store has lost when another gateway offers them

Cause: found by reading. A gateway that started after the return took the offer of a long record of the earlier era for one that it knew, because its position comes before that of the listed record. With a configuration of some kilobytes, as deployments have them, it served the older version until the operator had written the newer one again.

Change: while records hold, an offer of an earlier era is known only if just that record or a later one of that era is.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LatestRecords.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/LatestRecords.java
@@ -160,13 +160,22 @@
   }
 
   /**
-   * Returns whether a record need not be fetched.
+   * Returns whether a record need not be fetched. While records hold, one of an earlier era can be
+   * newer than the one that the store lists.
    *
    * @param position position of the record
-   * @return whether this record of the key or a later one has been read
+   * @return whether this record of the key or a newer one has been read
    */
-  public boolean isKnown(String topic, String key, StorePosition position) {
-    return findKnown(topic, key).filter(known -> !position.isAfter(known.seen())).isPresent();
+  public boolean isKnown(String topic, String key, StorePosition position, Instant now) {
+    return findKnown(topic, key).filter(known -> covers(known, position, now)).isPresent();
+  }
+
+  private boolean covers(Known known, StorePosition position, Instant now) {
+    if (position.era() < known.seen().era() && isHeld(now)) {
+      StorePosition taken = known.record().position();
+      return position.era() == taken.era() && !position.isAfter(taken);
+    }
+    return !position.isAfter(known.seen());
   }
 
   private Optional<Known> findKnown(String topic, String key) {
