--- a/review/standins-2/BodySentAheadCase.java
+++ b/review/standins-2/BodySentAheadCase.java
@@ -70,7 +70,7 @@
     try (Run run = new Run(Path.of(arguments[0]))) {
       result = new BodySentAheadCase(run).play();
       run.record.add("exit " + result);
-    } catch (IOException e) {
+    } catch (Exception e) {
       System.err.println("the case could not run: " + e);
     }
     System.exit(result);
--- a/review/standins-2/EndlessAnswerCase.java
+++ b/review/standins-2/EndlessAnswerCase.java
@@ -84,7 +84,7 @@
           };
       result = new EndlessAnswerCase(run, bytes).play();
       run.record.add("exit " + result);
-    } catch (IOException e) {
+    } catch (Exception e) {
       System.err.println("the case could not run: " + e);
     }
     System.exit(result);
--- a/review/standins-2/UnknownCodingCase.java
+++ b/review/standins-2/UnknownCodingCase.java
@@ -32,7 +32,7 @@
     try (Run run = new Run(Path.of(arguments[0]))) {
       result = play(run);
       run.record.add("exit " + result);
-    } catch (IOException e) {
+    } catch (Exception e) {
       System.err.println("the case could not run: " + e);
     }
     System.exit(result);
