Begin streams without a record only at the default version

Callers saw: a stream whose gateway could not write to the store and was then killed went on at another version of the server software.

Cause: the first event of a resumable stream waited 300 ms at most for the record of its version. At the gateway where the caller took it up, a missing record counted as proof that the stream began at the oldest version, but it also means that the record could not be written.

Change: only the default version, the oldest one on which the store's record and the gateway's view agree, may begin a stream without a record. Events of another version wait for it; if the append fails, the request runs again at the default version, or the caller, who has seen no event, gets 502. While appends fail, resumable streams begin at the default version. Records name the send, so that an append that the store executes late does not count. Events that wait are kept instead of leaving the server unread, because a server that closed its connection meanwhile made the answer look broken off. Gateways adopt the recorded order of the versions.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/VersionHistory.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/gateway/VersionHistory.java
@@ -8,7 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusseam.model.gateway.ServerInstance;
 
 /**
@@ -16,7 +18,8 @@
  *
  * <p>While one version has been in service for long enough, every stream began there and nothing
  * has to be remembered of it. Only while there are several must the version of each stream be
- * recorded; a stream without a record then began before the second version came, so at the oldest.
+ * recorded. A stream without a record then began before the second version came, or while it could
+ * not be recorded, and both only at the oldest.
  */
 public final class VersionHistory {
 
@@ -64,6 +67,27 @@
     services.put(service, merged);
   }
 
+  /**
+   * Orders the versions of a service as another gateway has recorded them, if both know the same
+   * ones. Gateways see versions come and go at different times.
+   *
+   * @param recorded versions, the oldest first
+   * @return whether the order has changed
+   */
+  public boolean adoptOrder(String service, List<String> recorded) {
+    List<String> known = versions(service);
+    if (known.equals(recorded)
+        || known.size() != recorded.size()
+        || !Set.copyOf(known).equals(Set.copyOf(recorded))) {
+      return false;
+    }
+    Map<String, Instant> listed = services.getOrDefault(service, new LinkedHashMap<>());
+    LinkedHashMap<String, Instant> ordered = new LinkedHashMap<>();
+    recorded.forEach(version -> ordered.put(version, Objects.requireNonNull(listed.get(version))));
+    services.put(service, ordered);
+    return true;
+  }
+
   /** Returns the versions of a service, the oldest first. */
   public List<String> versions(String service) {
     return new ArrayList<>(services.getOrDefault(service, new LinkedHashMap<>()).keySet());
--- a/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/VersionHistoryTest.java
+++ b/cactusseam-core/src/test/java/org/cactusseam/logic/gateway/VersionHistoryTest.java
@@ -87,4 +87,20 @@
 
     assertThat(history.versions("engines"), is(split(expected)));
   }
+
+  /** Gateways that saw the versions in another order would not agree on the oldest one. */
+  @ParameterizedTest
+  @CsvSource({
+    "'v1 v2', 'v2 v1', true, 'v2 v1'",
+    "'v1 v2', 'v1 v2', false, 'v1 v2'",
+    "'v1 v2', 'v2', false, 'v1 v2'",
+    "'v1 v2', 'v2 v3', false, 'v1 v2'"
+  })
+  void the_recorded_order_of_the_same_versions_is_adopted(
+      String listed, String recorded, boolean isAdopted, String expected) {
+    history.update(servers(listed), RETENTION, at(0));
+
+    assertThat(history.adoptOrder("engines", split(recorded)), is(isAdopted));
+    assertThat(history.versions("engines"), is(split(expected)));
+  }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -70,14 +70,26 @@
 
   /**
    * Returns the version that began the stream, because what another one writes does not continue
-   * it. Operators who order roll-outs have streams moved between versions.
+   * it; before that, the versions at which it may begin. Operators who order roll-outs have streams
+   * moved between versions.
    */
   @Override
   VersionFilter versions() {
+    if (!gateway.rollouts().table().isEmpty()) {
+      return super.versions();
+    }
     return version
-        .filter(known -> gateway.rollouts().table().isEmpty())
         .map(known -> VersionFilter.only(Set.of(known)))
-        .orElseGet(super::versions);
+        .orElseGet(
+            () ->
+                isOriginNeeded()
+                    ? gateway.streamOrigins().versionsThatMayBegin(service.name())
+                    : super.versions());
+  }
+
+  /** Returns whether a caller may take the stream up, and it has not begun. */
+  private boolean isOriginNeeded() {
+    return route.repetition().isRepeatable() && version.isEmpty();
   }
 
   /**
@@ -123,7 +135,7 @@
    * @return completes when the first event may reach the caller
    */
   private Future<Void> recordOrigin(ServerInstance server) {
-    return route.repetition().isRepeatable() && version.isEmpty()
+    return isOriginNeeded()
         ? gateway.streamOrigins().recordSent(head.attemptId(), server)
         : Future.succeededFuture();
   }
@@ -247,6 +259,27 @@
     }
   }
 
+  /**
+   * Called when the origin of a run could not be recorded, so that its events must not reach the
+   * caller. If no record can appear later, the request runs again where it needs none. Otherwise
+   * the caller, who knows of no event, may begin a new attempt.
+   */
+  void onUnrecorded(StreamRun run, Throwable cause) {
+    if (isFinished() || run != current) {
+      return;
+    }
+    current = null;
+    run.abort();
+    String reason = "the origin of the stream cannot be recorded";
+    if (cause instanceof NotExecutedException
+        && canRunAgain()
+        && tryRetry("restarted", run.server(), reason)) {
+      sendOrEnqueue();
+    } else {
+      endUnserved(reason);
+    }
+  }
+
   /** Called when the stream of a run broke off before its regular end. */
   void onBroken(StreamRun run, String reason) {
     if (isFinished() || run != current) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOriginStore.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOriginStore.java
@@ -14,7 +14,8 @@
    * Appends origins. One that is appended twice does no harm.
    *
    * @param origins origins in the order in which the streams were sent
-   * @return completes when the store has them; fails if it may not have them
+   * @return completes when the store has them; fails with {@link NotExecutedException} if it has
+   *     not written them and never will, and otherwise if it may not have them
    */
   Future<Void> append(List<StreamOrigin> origins);
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOrigins.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOrigins.java
@@ -6,21 +6,24 @@
 import io.vertx.core.Promise;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cactusseam.edge.logging.StructuredLog;
 import org.cactusseam.logic.gateway.VersionHistory;
 import org.cactusseam.model.gateway.GatewayService;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.gateway.StreamOrigin;
+import org.cactusseam.model.gateway.VersionFilter;
 
 /**
  * Finds the version at which a stream began when a caller takes it up at any gateway, also at one
  * that has started since. While a service has servers of several versions, the origin of each
- * resumable stream is appended to the store before its first event reaches the caller.
+ * resumable stream is appended to the store before its first event reaches the caller. Only at the
+ * default version, the oldest one, may a stream begin without a record; so the absence of a record
+ * says that the stream began there.
  */
 final class StreamOrigins {
 
@@ -40,10 +43,10 @@
   private static final Duration RECORDING_TIME = Duration.ofSeconds(16);
 
   /**
-   * Longest time for which the first event waits for its record. Covers a store that answers 50
-   * times as slowly as usual, in 4 ms.
+   * Longest time for which the first event of a stream at the default version waits for its record.
+   * The record is useful there, but its absence says the same.
    */
-  private static final Duration MAX_EVENT_DELAY = Duration.ofMillis(300);
+  private static final Duration MAX_EVENT_DELAY = StreamOriginWriter.SLOW_APPEND;
 
   /**
    * Age of the newest entry of a server at which the view of this gateway is old: a gateway that
@@ -52,7 +55,6 @@
   private static final Duration MAX_VIEW_AGE = Duration.ofSeconds(3);
 
   private static final Duration UPDATE_INTERVAL = Duration.ofSeconds(1);
-  private static final Duration RETRY_INTERVAL = Duration.ofMillis(300);
 
   /**
    * Longest time by which a gateway delays the record of a service's versions, so that it finds the
@@ -68,30 +70,38 @@
   private final Map<String, Origin> origins = new HashMap<>();
   private final Map<String, List<String>> recordedVersions = new HashMap<>();
   private final Map<String, Instant> versionWrites = new HashMap<>();
-  private List<StreamOrigin> unsaved = new ArrayList<>();
-  private Promise<Void> nextSave = Promise.promise();
+  private final StreamOriginWriter writer;
   private Optional<StreamOriginStore> store = Optional.empty();
-  private boolean isSaving;
   private boolean areVersionsRead;
   private Instant listedAt = Instant.MIN;
   private Instant updatedAt = Instant.MIN;
-  private Instant restoredAt = Instant.MIN;
+
+  /** Time since which the absence of a record may have other reasons than the default version. */
+  private Instant unreliableSince = Instant.MIN;
 
   /**
    * Known origin of a stream.
    *
-   * @param version version that began it
-   * @param at time at which it was sent or read
+   * @param record origin
+   * @param at time at which the stream was sent or its record was read
    * @param isOwn whether this gateway has sent it
    */
-  private record Origin(String version, Instant at, boolean isOwn) {}
+  private record Origin(StreamOrigin record, Instant at, boolean isOwn) {}
 
   StreamOrigins(Gateway gateway) {
     this.gateway = gateway;
+    this.writer = new StreamOriginWriter(gateway, this::isCurrent);
   }
 
   void setStore(StreamOriginStore newStore) {
     store = Optional.of(newStore);
+    writer.setStore(newStore);
+  }
+
+  private boolean isCurrent(StreamOrigin origin) {
+    return Optional.ofNullable(origins.get(origin.attemptId()))
+        .filter(known -> known.record().equals(origin))
+        .isPresent();
   }
 
   /** Adds the version of a server before the first request is sent to it. */
@@ -151,13 +161,17 @@
   }
 
   /**
-   * Records the versions of a service that the store has. They are older than what this gateway
-   * sees, and count only if it has just started; later it knows more than the record.
+   * Records the versions of a service that the store has. A gateway that has just started takes
+   * them over. Later it knows more than the record, but takes over the order of those that both
+   * know, so that all gateways have the same default version.
    */
   void onVersionsRead(String service, List<String> versions) {
     Instant now = gateway.clock().instant();
     if (!areVersionsRead) {
       history.restore(service, versions, now);
+    } else if (history.adoptOrder(service, versions)) {
+      LOG.warn("versions_reordered", field("service", service), field("versions", versions));
+      unreliableSince = now;
     }
     recordedVersions.put(service, versions);
     scheduleWrite(service, now);
@@ -171,16 +185,12 @@
   /** Writes again what the store may have lost when it came back from an older copy. */
   void onStoreRestored() {
     Instant now = gateway.clock().instant();
-    restoredAt = now;
+    unreliableSince = now;
     recordedVersions.clear();
     services().forEach(service -> scheduleWrite(service, now));
-    origins.forEach(
-        (attempt, origin) -> {
-          if (origin.isOwn()) {
-            unsaved.add(new StreamOrigin(attempt, origin.version()));
-          }
-        });
-    save();
+    List.copyOf(origins.values()).stream()
+        .filter(Origin::isOwn)
+        .forEach(origin -> writer.save(origin.record()));
   }
 
   private List<String> services() {
@@ -188,68 +198,83 @@
   }
 
   /**
-   * Records that a resumable stream is sent to a server.
+   * Returns the version at which streams begin whose origin cannot be recorded. A stream without a
+   * record began there, so all gateways must agree on it: it is the oldest in the store's record of
+   * the versions and in the view of this gateway.
+   */
+  private Optional<String> defaultVersion(String service) {
+    Optional<String> oldest = history.versions(service).stream().findFirst();
+    List<String> recorded = recordedVersions.getOrDefault(service, List.of());
+    return oldest.filter(version -> recorded.indexOf(version) == 0);
+  }
+
+  /**
+   * Returns the versions at which a resumable stream may begin now. While origins cannot be
+   * recorded, only streams at the default version would reach their callers without delay.
+   */
+  VersionFilter versionsThatMayBegin(String service) {
+    if (!history.isMixed(service) || !writer.isFailing()) {
+      return VersionFilter.ANY;
+    }
+    return defaultVersion(service)
+        .filter(version -> hasServer(service, version))
+        .map(version -> VersionFilter.only(Set.of(version)))
+        .orElse(VersionFilter.ANY);
+  }
+
+  private boolean hasServer(String service, String version) {
+    return gateway.servers().usable(service).stream()
+        .anyMatch(server -> server.version().equals(version));
+  }
+
+  /**
+   * Records that a resumable stream is sent to a server. If another gateway could take the stream
+   * up at another version without its record, its first event waits for the record.
    *
-   * @return completes when its first event may reach the caller; never fails
+   * @return completes when the first event may reach the caller; fails if the origin could not be
+   *     recorded, with {@link NotExecutedException} if no record can appear later
    */
   Future<Void> recordSent(String attemptId, ServerInstance server) {
-    origins.put(attemptId, new Origin(server.version(), gateway.clock().instant(), true));
+    Optional<StreamOrigin> earlier =
+        Optional.ofNullable(origins.get(attemptId)).map(Origin::record);
+    StreamOrigin origin =
+        new StreamOrigin(
+            attemptId, server.version(), earlier.map(StreamOrigin::send).orElse(0) + 1);
+    origins.put(attemptId, new Origin(origin, gateway.clock().instant(), true));
     if (!history.isMixed(server.service()) || store.isEmpty()) {
       return Future.succeededFuture();
     }
-    unsaved.add(new StreamOrigin(attemptId, server.version()));
-    Promise<Void> saved = Promise.promise();
-    nextSave.future().onComplete(ignored -> saved.tryComplete());
-    long timer =
-        gateway.vertx().setTimer(MAX_EVENT_DELAY.toMillis(), expired -> saved.tryComplete());
-    save();
-    return saved.future().onComplete(ignored -> gateway.vertx().cancelTimer(timer));
+    boolean mayHaveOtherRecord =
+        earlier.filter(other -> !other.version().equals(server.version())).isPresent();
+    return !mayHaveOtherRecord && isSoundWithoutRecord(server)
+        ? atMost(MAX_EVENT_DELAY, writer.save(origin))
+        : writer.saveOrFail(origin).onFailure(cause -> forget(origin, cause));
   }
 
-  /** Appends all unsaved origins in one call, one call at a time. */
-  private void save() {
-    if (isSaving || unsaved.isEmpty() || store.isEmpty()) {
-      return;
-    }
-    isSaving = true;
-    List<StreamOrigin> batch = unsaved;
-    Promise<Void> saved = nextSave;
-    unsaved = new ArrayList<>();
-    nextSave = Promise.promise();
-    store
-        .get()
-        .append(batch)
-        .onComplete(
-            result -> {
-              isSaving = false;
-              if (result.succeeded()) {
-                saved.complete();
-                save();
-                return;
-              }
-              LOG.warn(
-                  "origins_not_stored",
-                  field("streams", batch.size()),
-                  field("cause", result.cause()));
-              nextSave.future().onComplete(ignored -> saved.complete());
-              keepUnsaved(batch);
-              gateway.vertx().setTimer(RETRY_INTERVAL.toMillis(), timer -> save());
-            });
+  /**
+   * Returns whether a stream without a record is not taken up at another version than that of its
+   * server: because this is the default version, or because no server of the default one is left.
+   */
+  private boolean isSoundWithoutRecord(ServerInstance server) {
+    return defaultVersion(server.service())
+        .filter(
+            version -> version.equals(server.version()) || !hasServer(server.service(), version))
+        .isPresent();
   }
 
-  /** Keeps a batch for the next append, without the streams that can no longer be taken up. */
-  private void keepUnsaved(List<StreamOrigin> batch) {
-    List<StreamOrigin> kept =
-        new ArrayList<>(
-            batch.stream().filter(origin -> origins.containsKey(origin.attemptId())).toList());
-    kept.addAll(unsaved);
-    unsaved = kept;
-    if (unsaved.isEmpty()) {
-      nextSave.complete();
-      nextSave = Promise.promise();
+  private void forget(StreamOrigin origin, Throwable cause) {
+    if (cause instanceof NotExecutedException && isCurrent(origin)) {
+      origins.remove(origin.attemptId());
     }
   }
 
+  private Future<Void> atMost(Duration time, Future<Void> saved) {
+    Promise<Void> due = Promise.promise();
+    saved.onComplete(ignored -> due.tryComplete());
+    long timer = gateway.vertx().setTimer(time.toMillis(), expired -> due.tryComplete());
+    return due.future().onComplete(ignored -> gateway.vertx().cancelTimer(timer));
+  }
+
   /**
    * Finds the version that began a stream.
    *
@@ -268,9 +293,7 @@
         .map(
             read -> {
               Instant now = gateway.clock().instant();
-              read.forEach(
-                  origin ->
-                      origins.put(origin.attemptId(), new Origin(origin.version(), now, false)));
+              read.forEach(origin -> addRead(origin, now));
               return known(attemptId).or(() -> unrecorded(service, now));
             })
         .otherwise(
@@ -289,15 +312,30 @@
         : Optional.empty();
   }
 
+  private void addRead(StreamOrigin origin, Instant now) {
+    origins.merge(
+        origin.attemptId(),
+        new Origin(origin, now, false),
+        (known, read) -> read.record().send() > known.record().send() ? read : known);
+  }
+
   private Optional<String> known(String attemptId) {
-    return Optional.ofNullable(origins.get(attemptId)).map(Origin::version);
+    return Optional.ofNullable(origins.get(attemptId)).map(origin -> origin.record().version());
   }
 
-  /** A stream without a record began before the second version came, unless records are lost. */
+  /**
+   * Returns the version of a stream that the store has no record of: no other version than the
+   * default one begins streams before they are recorded. Empty if records may be lost, or if the
+   * gateways may not agree on the default version.
+   */
   private Optional<String> unrecorded(String service, Instant now) {
-    boolean mayBeLost = !restoredAt.equals(Instant.MIN) && restoredAt.plus(WINDOW).isAfter(now);
-    return mayBeLost || !areVersionsRead
-        ? Optional.empty()
+    boolean isReliable =
+        unreliableSince.equals(Instant.MIN) || unreliableSince.plus(WINDOW).isBefore(now);
+    if (!isReliable || !areVersionsRead) {
+      return Optional.empty();
+    }
+    return history.isMixed(service)
+        ? defaultVersion(service)
         : history.versions(service).stream().findFirst();
   }
 }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamRun.java
@@ -8,6 +8,8 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.cactusseam.edge.backend.BoundedBody;
 import org.cactusseam.logic.gateway.StreamOnset;
@@ -28,6 +30,12 @@
   /** Maximum length of an event. Events hold a few tokens, so longer ones are no answer. */
   private static final long MAX_EVENT_BYTES = 1 << 20;
 
+  /**
+   * Length of the events that are held back before the server is read more slowly. Streams that can
+   * be taken up are short.
+   */
+  private static final int MAX_HELD_BYTES = 64 << 10;
+
   private final StreamExchange exchange;
   private final Gateway gateway;
   private final ServerInstance server;
@@ -42,6 +50,9 @@
   private boolean released;
   private Instant sentAt = Instant.MIN;
   private int pendingPrefillTokens;
+  private final List<EventSplitter.Event> held = new ArrayList<>();
+  private int heldBytes;
+  private boolean isComplete;
   private final StreamOutcome outcome;
 
   /**
@@ -91,7 +102,11 @@
     if (onset.recordEvent(now) && continuation.isEmpty()) {
       exchange.recordAnswered();
     }
-    exchange.onEvent(this, event);
+    if (deliverable.succeeded()) {
+      exchange.onEvent(this, event);
+    } else {
+      hold(event);
+    }
   }
 
   private void endPrefill() {
@@ -100,6 +115,7 @@
   }
 
   void start() {
+    awaitDeliverable();
     gateway.loads().addRun(server.id(), exchange.expectedTokens());
     if (continuation.isEmpty()) {
       pendingPrefillTokens = exchange.promptTokens();
@@ -181,10 +197,32 @@
       received.handler(this::onBytes);
       received.exceptionHandler(cause -> onBroken(String.valueOf(cause.getMessage())));
       received.endHandler(ended -> onEnd());
-      if (!deliverable.isComplete()) {
-        received.pause();
-        deliverable.onComplete(ignored -> received.resume());
-      }
+    }
+  }
+
+  /** Holds the events back until they may reach the caller. */
+  private void awaitDeliverable() {
+    deliverable
+        .onSuccess(ignored -> deliverHeld())
+        .onFailure(cause -> exchange.onUnrecorded(this, cause));
+  }
+
+  private void hold(EventSplitter.Event event) {
+    held.add(event);
+    heldBytes += event.bytes().length();
+    if (heldBytes > MAX_HELD_BYTES) {
+      pause();
+    }
+  }
+
+  private void deliverHeld() {
+    List<EventSplitter.Event> events = List.copyOf(held);
+    held.clear();
+    events.forEach(event -> exchange.onEvent(this, event));
+    if (isComplete) {
+      exchange.onCompleted(this);
+    } else if (!events.isEmpty()) {
+      resume();
     }
   }
 
@@ -215,7 +253,10 @@
       exchange.recordAnswered();
     }
     release();
-    exchange.onCompleted(this);
+    isComplete = true;
+    if (deliverable.succeeded()) {
+      exchange.onCompleted(this);
+    }
   }
 
   /** Returns whether only the end of the connection marks the end of the response. */
