Decide in one place whether a response is valid and complete

Callers saw: part of an answer as a complete 200 when the server reset the connection during a long upload; answers with a status above 599, or with a blank in the name of a field, which was passed on.

Cause: the library's decoder ends a body without a length whenever the channel closes, also after a reset that was noticed in a write, and it accepts more than RFC 9112 allows in status lines, names of fields and trailers, and transfer codings.

Change: all HTTP clients of the gateway, the daemon and the command line are created by HttpClients, with a decoder that demands an orderly end for a body without a length, after the request was written, and checks the head and the trailers.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/CallCommand.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/CallCommand.java
@@ -16,6 +16,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
+import org.cactusseam.edge.http.HttpClients;
 import org.cactusseam.model.DurationText;
 
 /**
@@ -95,8 +96,8 @@
     Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     try {
       HttpClient http =
-          vertx.createHttpClient(
-              connection.http(options), new PoolOptions().setHttp1MaxSize(parallel));
+          HttpClients.create(
+              vertx, connection.http(options), new PoolOptions().setHttp1MaxSize(parallel));
       Clock clock = Clock.systemUTC();
       Instant start = clock.instant();
       CallRun run = new CallRun(vertx, http, plan, clock, calls, output);
--- a/cactusseam-daemon/src/main/java/org/cactusseam/cli/OperatorClient.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/cli/OperatorClient.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.cactusseam.edge.answer.OperatorAnswer;
+import org.cactusseam.edge.http.HttpClients;
 
 /** Client that sends operator commands to a daemon. */
 final class OperatorClient implements AutoCloseable {
@@ -46,7 +47,7 @@
   record Unanswered(String reason, boolean sent) implements Outcome {}
 
   OperatorClient(HttpClientOptions options, List<URI> servers, String key, Duration timeout) {
-    this.http = vertx.createHttpClient(options);
+    this.http = HttpClients.create(vertx, options);
     this.servers = List.copyOf(servers);
     this.key = key;
     this.timeout = timeout;
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/BackendConnections.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/BackendConnections.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
+import org.cactusseam.edge.http.HttpClients;
 
 /**
  * Creates the HTTP clients that send callers' requests to backend servers. Each request uses a new
@@ -33,7 +34,8 @@
    * @return client without keep-alive
    */
   public static HttpClient createClient(Vertx vertx) {
-    return vertx.createHttpClient(
+    return HttpClients.create(
+        vertx,
         new HttpClientOptions()
             .setTcpNoDelay(true)
             .setKeepAlive(false)
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/LoadPoller.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/LoadPoller.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import org.cactusseam.edge.Json;
+import org.cactusseam.edge.http.HttpClients;
 import org.cactusseam.model.BackendServer;
 import org.cactusseam.model.admission.BackendCondition;
 import org.cactusseam.model.admission.LoadReport;
@@ -57,7 +58,8 @@
    */
   public LoadPoller(Vertx vertx) {
     this.client =
-        vertx.createHttpClient(
+        HttpClients.create(
+            vertx,
             new HttpClientOptions().setConnectTimeout((int) TIMEOUT_MILLIS),
             new PoolOptions().setHttp1MaxSize(POOL_SIZE));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/OrderClient.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/backend/OrderClient.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.cactusseam.edge.Json;
+import org.cactusseam.edge.http.HttpClients;
 import org.cactusseam.logic.orders.OrderResponse;
 import org.cactusseam.logic.orders.OrderState;
 import org.cactusseam.model.BackendServer;
@@ -105,7 +106,8 @@
   public OrderClient(Vertx vertx) {
     // No keep-alive: an order sent on an idle connection that the engine is closing would be lost.
     this.client =
-        vertx.createHttpClient(
+        HttpClients.create(
+            vertx,
             new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int) TIMEOUT_MILLIS));
   }
 
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/platform/HttpAppendOnlyLog.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/platform/HttpAppendOnlyLog.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import org.cactusseam.edge.Json;
 import org.cactusseam.edge.backend.BoundedBody;
+import org.cactusseam.edge.http.HttpClients;
 
 /** Accesses the log service over HTTP. */
 public final class HttpAppendOnlyLog implements AppendOnlyLog {
@@ -46,7 +47,8 @@
   public HttpAppendOnlyLog(Vertx vertx, URI base) {
     this.base = base;
     this.client =
-        vertx.createHttpClient(
+        HttpClients.create(
+            vertx,
             new HttpClientOptions().setConnectTimeout((int) APPEND_TIMEOUT.toMillis()),
             new PoolOptions().setHttp1MaxSize(POOL_SIZE));
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/platform/HttpVirtualMachineList.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/platform/HttpVirtualMachineList.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -11,6 +12,7 @@
 import java.util.List;
 import org.cactusseam.edge.Json;
 import org.cactusseam.edge.backend.BoundedBody;
+import org.cactusseam.edge.http.HttpClients;
 
 /** Reads the list of VMs over HTTP. */
 public final class HttpVirtualMachineList implements VirtualMachineList {
@@ -35,7 +37,7 @@
    * @param base URI of the service; only its host and port are used
    */
   public HttpVirtualMachineList(Vertx vertx, URI base) {
-    this.client = vertx.createHttpClient();
+    this.client = HttpClients.create(vertx, new HttpClientOptions());
     this.base = base;
   }
 
