Count the crashes of each repeated request by itself

Callers of other requests saw: streams broken off and refusals, because several requests that came again unchanged crashed one server after the other and were never quarantined.

Cause: the quarantine infers a cause from what the requests of several crashes have in common. It ignores requests that had not begun beside one that had, discounts crashes that share other suspects, and keeps 16 reports, too few for several such requests at a time.

Change: a whole request is known by its own fingerprint, so the crashes that it met without an answer are counted directly, from the same reports. After two, the request is sent once for each attempt of its caller.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/quarantine/QuarantineTable.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/quarantine/QuarantineTable.java
@@ -204,6 +204,15 @@
     return false;
   }
 
+  /**
+   * Adds quarantines that other evidence than the reports of this table has shown.
+   *
+   * @param convictions causes and the ends of their quarantines
+   */
+  public void addConvictions(List<Conviction> convictions) {
+    update(suspicions.merge(new Suspicions(List.of(), convictions)));
+  }
+
   private static Set<CrashId> identities(Suspicions value) {
     return value.crashes().stream().map(CrashReport::id).collect(Collectors.toSet());
   }
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/BufferedExchange.java
@@ -119,7 +119,7 @@
   }
 
   private boolean canRunAgain() {
-    return route.repetition().isRepeatable() && runs < route.maximumRuns();
+    return route.repetition().isRepeatable() && runs < route.maximumRuns() && !isSuspected();
   }
 
   /** Handles the failure of an attempt, unless another attempt can still answer the request. */
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/Exchange.java
@@ -483,6 +483,11 @@
         && gateway.quarantine().isQuarantined(fingerprints.all());
   }
 
+  /** Returns whether the request has met crashes and must not run again in this attempt. */
+  final boolean isSuspected() {
+    return gateway.quarantine().isActive() && gateway.quarantine().isSuspected(fingerprints.all());
+  }
+
   /** Refuses the request with status 503: it has not run and will not run. */
   final void refuse(String reason) {
     if (finished) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestFingerprints.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestFingerprints.java
@@ -14,6 +14,8 @@
 /** Fingerprints by which a request that crashes servers is recognised. */
 final class RequestFingerprints {
 
+  private static final String WHOLE = "request:";
+
   private final HttpServerRequest incoming;
   private final Buffer body;
   private final CallerRequest head;
@@ -31,6 +33,11 @@
     this.account = account;
   }
 
+  /** Returns whether a fingerprint is that of a request as a whole. */
+  static boolean isWhole(String fingerprint) {
+    return fingerprint.startsWith(WHOLE);
+  }
+
   /** Returns the fingerprints of the prompt parts that the request shares with others. */
   Set<String> ofParts() {
     return head.sharedPromptParts().stream()
@@ -43,7 +50,7 @@
     if (all.isEmpty()) {
       Set<String> computed = new HashSet<>(ofParts());
       computed.add(
-          "request:"
+          WHOLE
               + BodyReader.hash(
                   body,
                   Hashing.murmur3_128()
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestQuarantine.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/RequestQuarantine.java
@@ -18,11 +18,14 @@
 import org.cactusseam.logic.quarantine.ConvictionPolicy;
 import org.cactusseam.logic.quarantine.PublicationSchedule;
 import org.cactusseam.logic.quarantine.QuarantineTable;
+import org.cactusseam.logic.quarantine.RepeatedRequests;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.Names;
 import org.cactusseam.model.NodeName;
 import org.cactusseam.model.gateway.ServerInstance;
 import org.cactusseam.model.quarantine.Conviction;
+import org.cactusseam.model.quarantine.CrashId;
+import org.cactusseam.model.quarantine.CrashReport;
 import org.cactusseam.model.quarantine.Suspicions;
 
 /**
@@ -47,6 +50,7 @@
   private final CrashCheck crashCheck;
   private final Predicate<String> isLeaving;
   private final QuarantineTable table;
+  private final RepeatedRequests repeated;
   private final PublicationSchedule publications;
   private Set<Conviction> convictions = Set.of();
   private int gatewayCount = 1;
@@ -73,6 +77,7 @@
     this.isLeaving = isLeaving;
     this.table =
         new QuarantineTable(new NodeName(toName(node)), clock, ConvictionPolicy.REQUEST_PARTS);
+    this.repeated = new RepeatedRequests(clock, RequestFingerprints::isWhole);
     this.publications = new PublicationSchedule(node);
   }
 
@@ -99,6 +104,11 @@
     return table.isQuarantined(fingerprints);
   }
 
+  /** Returns whether a request should not be sent again after a failure. */
+  boolean isSuspected(Set<String> fingerprints) {
+    return repeated.isSuspected(fingerprints);
+  }
+
   /** Returns all evidence and convictions, for a gateway that has just connected. */
   Suspicions state() {
     return table.suspicions();
@@ -110,6 +120,14 @@
    */
   void recordAnswer(Set<String> fingerprints) {
     fingerprints.forEach(table::recordCompletion);
+    List<CrashReport> cleared =
+        fingerprints.stream()
+            .filter(RequestFingerprints::isWhole)
+            .flatMap(request -> repeated.recordAnswer(request).stream())
+            .toList();
+    if (!cleared.isEmpty()) {
+      peerBroadcast.accept(new Suspicions(cleared, List.of()));
+    }
     shareChanges();
   }
 
@@ -135,11 +153,13 @@
   }
 
   private void recordCrash(ServerInstance server, Set<String> fingerprints, boolean started) {
-    table.recordCrash(
-        new BackendServerName(toName(server.id())),
-        Long.toString(server.startedAtMillis()),
-        fingerprints,
-        started);
+    CrashId id =
+        table.recordCrash(
+            new BackendServerName(toName(server.id())),
+            Long.toString(server.startedAtMillis()),
+            fingerprints,
+            started);
+    repeated.add(new CrashReport(id, fingerprints, Set.of(), true));
     LOG.warn("server_crashed", field("server", server.id()), field("service", server.service()));
     shareChanges();
   }
@@ -170,6 +190,7 @@
   /** Takes over what another gateway knows. */
   void merge(String sender, Suspicions received) {
     shared = shared.merge(received);
+    received.crashes().forEach(repeated::add);
     table.mergePeerState(new NodeName(toName(sender)), received);
     applyConvictions();
     scheduleShareOfChanges();
@@ -226,6 +247,10 @@
       return;
     }
     table.tick();
+    List<Conviction> found = repeated.findCauses(table.suspicions().convictions());
+    if (!found.isEmpty()) {
+      table.addConvictions(found);
+    }
     applyConvictions();
     scheduleShareOfChanges();
     if (!shareChangesAt.isAfter(now)) {
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamExchange.java
@@ -317,6 +317,7 @@
   boolean canRunAgain() {
     return route.repetition().isRepeatable()
         && runs < route.maximumRuns()
+        && !isSuspected()
         && gateway.serverSelector().isServable(requirements());
   }
 
