Bound the number of interim responses

Cause: responses 100 and 103 are decoded and passed to handlers that nobody sets, so neither their number nor their bytes were limited, and decoding them took the event loop.

Change: the decoder of responses, which all readers share, fails a response after 16 interim ones.

--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOriginWriter.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/gateway/StreamOriginWriter.java
@@ -61,10 +61,6 @@
     store = Optional.of(newStore);
   }
 
-  boolean hasStore() {
-    return store.isPresent();
-  }
-
   /** Returns whether the latest append failed, or has had no response for a while. */
   boolean isFailing() {
     return hasFailed
--- a/cactusseam-daemon/src/main/java/org/cactusseam/edge/http/ResponseDecoder.java
+++ b/cactusseam-daemon/src/main/java/org/cactusseam/edge/http/ResponseDecoder.java
@@ -36,11 +36,18 @@
   /** Characters of a field name besides letters and digits: RFC 9110, section 5.6.2. */
   private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
+  /**
+   * Maximum number of interim responses before a response. Servers send one or two; without a limit
+   * one that sends nothing else occupies the event loop.
+   */
+  private static final int MAXIMUM_INTERIM_RESPONSES = 16;
+
   /** Methods of the requests that have not been answered yet. */
   private final Queue<HttpMethod> methods = new ArrayDeque<>();
 
   private boolean isRequestUnderWay;
   private int pendingWrites;
+  private int interimResponses;
 
   /** Whether only the end of the connection ends the body that is being decoded. */
   private boolean endsWithConnection;
@@ -139,6 +146,7 @@
   private void onDecoded(Object decoded) {
     if (decoded instanceof HttpResponse response) {
       checkCoding(response);
+      countInterim(response);
       endsWithConnection =
           !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
     }
@@ -147,6 +155,15 @@
     }
   }
 
+  private void countInterim(HttpResponse response) {
+    boolean isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    interimResponses = isInterim ? interimResponses + 1 : 0;
+    if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+      response.setDecoderResult(
+          DecoderResult.failure(new IllegalArgumentException("interim responses without end")));
+    }
+  }
+
   /** Bytes in a coding that is not asked for are not the body of the server. */
   private static void checkCoding(HttpResponse response) {
     List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
