Observe a repeated request for 4 s before its quarantine

Cause: within a second, such a request met the first crashes of several other requests. None of these had met a second one yet, so nothing else explained the crashes.

Change: a request is quarantined 4 s after its first crash at the earliest. Arrivals count against the limit only so long after the third crash. By then the causes have met several crashes themselves.

--- a/cactusseam-core/src/main/java/org/cactusseam/logic/quarantine/RepeatedRequests.java
+++ b/cactusseam-core/src/main/java/org/cactusseam/logic/quarantine/RepeatedRequests.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cactusseam.model.BackendServerName;
 import org.cactusseam.model.quarantine.Conviction;
 import org.cactusseam.model.quarantine.CrashId;
@@ -51,6 +52,13 @@
 
   static final int CLEAR_OWN_CRASHES = 3;
 
+  /**
+   * Time from the first of these crashes to the decision. By then, requests that crash servers each
+   * time have met several crashes, which explain those of a sound request that came again quickly.
+   * Arrivals count against the limit only this long after the third crash.
+   */
+  static final Duration OBSERVATION = Duration.ofSeconds(4);
+
   /**
    * Crashes since the last answer after which a request is sent only once for each attempt of its
    * caller. A crash of another cause alone does not cost a sound request its second run.
@@ -69,7 +77,7 @@
   private final Clock clock;
   private final Predicate<String> isWholeRequest;
   private final Map<Run, Crash> crashes = new LinkedHashMap<>();
-  private long nextSettlingMillis = Long.MAX_VALUE;
+  private long nextEvaluationMillis = Long.MAX_VALUE;
 
   /** Process run of a server that ended in a crash; several gateways can report it. */
   private record Run(BackendServerName server, String incarnation) {}
@@ -139,7 +147,7 @@
         run,
         new Crash(report.id(), report.fingerprints(), report.cleared(), now),
         (known, added) -> known.join(added));
-    nextSettlingMillis = Math.min(nextSettlingMillis, now + SETTLING.toMillis());
+    nextEvaluationMillis = Math.min(nextEvaluationMillis, now + SETTLING.toMillis());
     dropOld();
   }
 
@@ -195,13 +203,15 @@
    */
   public List<Conviction> findCauses(Collection<Conviction> known) {
     long now = clock.millis();
-    if (now < nextSettlingMillis) {
+    if (now < nextEvaluationMillis) {
       return List.of();
     }
-    nextSettlingMillis =
+    nextEvaluationMillis =
         crashes.values().stream()
-            .mapToLong(crash -> crash.knownSinceMillis() + SETTLING.toMillis())
-            .filter(settlesAt -> settlesAt > now)
+            .map(Crash::knownSinceMillis)
+            .flatMap(at -> Stream.of(at + SETTLING.toMillis(), at + OBSERVATION.toMillis()))
+            .mapToLong(Long::longValue)
+            .filter(dueAt -> dueAt > now)
             .min()
             .orElse(Long.MAX_VALUE);
     List<Conviction> found = new ArrayList<>();
@@ -228,7 +238,9 @@
                     .forEach(
                         request ->
                             met.computeIfAbsent(request, any -> new ArrayList<>()).add(crash)));
+    long observedSince = now - OBSERVATION.toMillis();
     return met.entrySet().stream()
+        .filter(each -> each.getValue().getFirst().knownSinceMillis() <= observedSince)
         .filter(each -> countSeparately(each.getValue()) >= CLEAR_CRASHES)
         .map(
             each ->
